--- /dev/null
+++ b/daemon/instances.go
@@ -0,0 +1,193 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/entry"
+	"citronusher.example/citronusher/events"
+	"citronusher.example/citronusher/member"
+	"citronusher.example/citronusher/peer/peerpb"
+	"citronusher.example/citronusher/route"
+	"citronusher.example/citronusher/spread"
+)
+
+const (
+	listInterval = 2 * time.Second
+	suspectFor   = 3 * time.Second // how long a silent peer is asked last
+)
+
+// watchInstances follows the platform's list until the daemon closes.
+func (d *Daemon) watchInstances() {
+	for {
+		select {
+		case <-time.After(listInterval/2 + rand.N(listInterval)):
+			d.pollList()
+			d.look()
+		case <-d.ctx.Done():
+			return
+		}
+	}
+}
+
+// pollList reads the platform's list. When the platform does not answer, the last list stays in force.
+func (d *Daemon) pollList() {
+	d.meter.Polls().Inc(1)
+	instances, changed, err := d.list.List(d.ctx)
+	if err != nil || !changed {
+		return
+	}
+	d.mu.Lock()
+	d.view.List(instances)
+	d.mu.Unlock()
+	events.Log(d.logger, events.InstanceChanged, "listed", len(instances))
+}
+
+// look works out the homes of every database from the current view.
+func (d *Daemon) look() {
+	document := d.spreader.Document()
+	d.mu.Lock()
+	live := d.view.Live(d.clock.Now())
+	homed := make(map[string][]citronusher.Instance, len(d.homed))
+	ranks := map[string]int{}
+	for _, name := range document.Databases() {
+		database, _ := document.Database(name)
+		homes := route.Homes(name, live, database.Homes())
+		if !d.settings.UseHomes() {
+			homes = d.selfOnly(live)
+		}
+		homed[name] = homes
+		rank := slices.IndexFunc(homes, func(i citronusher.Instance) bool { return i.Name() == d.settings.Name() })
+		if rank >= 0 {
+			ranks[name] = rank
+		}
+	}
+	d.homed = homed
+	d.mu.Unlock()
+	d.homes.SetRanks(ranks, len(live))
+}
+
+// selfOnly is the baseline without homes: every daemon serves its own callers, and its place in the list staggers the
+// promotions.
+func (d *Daemon) selfOnly(live []citronusher.Instance) []citronusher.Instance {
+	rank := slices.IndexFunc(live, func(i citronusher.Instance) bool { return i.Name() == d.settings.Name() })
+	if rank < 0 {
+		return nil
+	}
+	return live[:rank+1]
+}
+
+func (d *Daemon) homesOf(database string) []citronusher.Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.homed[database]
+}
+
+// Route returns the homes of database in the order in which the entry asks them.
+func (d *Daemon) Route(database, caller string, long bool) []entry.Hop {
+	if !d.settings.UseHomes() {
+		return []entry.Hop{entry.NewHop(d.settings.Name(), d.homes, true)}
+	}
+	homes := route.Order(d.homesOf(database), d.settings.Name(), d.settings.Domain(), caller, long)
+	hops := make([]entry.Hop, len(homes))
+	for i, instance := range homes {
+		if instance.Name() == d.settings.Name() {
+			hops[i] = entry.NewHop(instance.Name(), d.homes, true)
+			continue
+		}
+		hops[i] = entry.NewHop(instance.Name(), d.client.Peer(instance.Peer()), false)
+	}
+	return hops
+}
+
+// Failed leaves a silent peer out of the homes for a while.
+func (d *Daemon) Failed(name string) {
+	now := d.clock.Now()
+	d.mu.Lock()
+	news := !d.view.Suspected(name, now)
+	d.view.Suspect(name, now.Add(suspectFor))
+	d.mu.Unlock()
+	if news {
+		events.Log(d.logger, events.PeerFailed, "peer", name)
+		d.look()
+	}
+}
+
+// Cancel cancels the running request of a caller of this entry.
+func (d *Daemon) Cancel(process, secret uint32) { d.entry.Cancel(process, secret) }
+
+// cancelRouter adapts the daemon to the entry's Router, whose Cancel goes to other daemons.
+type cancelRouter struct{ *Daemon }
+
+// Cancel passes a cancel request on to the instances whose tag it carries.
+func (r cancelRouter) Cancel(ctx context.Context, tag uint16, process, secret uint32) {
+	r.mu.Lock()
+	listed := r.view.Listed()
+	r.mu.Unlock()
+	for _, instance := range listed {
+		if entry.Tag(instance.Name()) == tag {
+			_ = r.client.Peer(instance.Peer()).Cancel(ctx, process, secret)
+		}
+	}
+}
+
+// peers returns the addresses of the other live daemons.
+func (d *Daemon) peers() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var addresses []string
+	for _, instance := range d.view.Live(d.clock.Now()) {
+		if instance.Name() != d.settings.Name() {
+			addresses = append(addresses, instance.Peer())
+		}
+	}
+	return addresses
+}
+
+// announce tells the peers this daemon's state.
+func (d *Daemon) announce(state citronusher.InstanceState) {
+	d.mu.Lock()
+	d.epoch++
+	epoch := d.epoch
+	d.mu.Unlock()
+	d.spreader.Publish(&peerpb.AnnounceRequest{
+		Kind: spread.KindState, Subject: d.settings.Name() + " " + string(state), Version: epoch,
+		Source: d.settings.Peer(), Origin: d.settings.Peer(),
+	})
+}
+
+// take handles a notice about an instance or a term; it reports whether it was news.
+func (d *Daemon) take(n *peerpb.AnnounceRequest) bool {
+	if n.GetKind() == spread.KindTerm {
+		d.homes.Kick(n.GetSubject())
+		return false
+	}
+	notice, ok := parseState(n)
+	if !ok {
+		return false
+	}
+	d.mu.Lock()
+	news := d.view.Take(notice)
+	if news && notice.State() == citronusher.InstanceLive {
+		d.view.Trust(notice.Name())
+	}
+	d.mu.Unlock()
+	if news {
+		events.Log(d.logger, events.InstanceChanged, "name", notice.Name(), "state", string(notice.State()))
+		d.look()
+	}
+	return news
+}
+
+// parseState reads an instance's notice about itself.
+func parseState(n *peerpb.AnnounceRequest) (member.Notice, bool) {
+	name, state, found := strings.Cut(n.GetSubject(), " ")
+	if !found || n.GetKind() != spread.KindState {
+		return member.Notice{}, false
+	}
+	return member.NewNotice(name, citronusher.InstanceState(state), n.GetVersion()), true
+}
--- /dev/null
+++ b/daemon/operator.go
@@ -0,0 +1,156 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"connectrpc.com/connect"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/events"
+	"citronusher.example/citronusher/home"
+	"citronusher.example/citronusher/peer/peerpb"
+	"citronusher.example/citronusher/profile"
+)
+
+// Status is what an operator sees of one daemon.
+type Status struct {
+	Instance  string           `json:"instance"`
+	Domain    string           `json:"domain"`
+	Ready     bool             `json:"ready"`
+	Version   uint64           `json:"version"`
+	Instances []InstanceStatus `json:"instances"`
+	Databases []home.Report    `json:"databases"`
+}
+
+// InstanceStatus is one instance in a daemon's view.
+type InstanceStatus struct {
+	Name      string `json:"name"`
+	Peer      string `json:"peer"`
+	Domain    string `json:"domain"`
+	Live      bool   `json:"live"`
+	Suspected bool   `json:"suspected"`
+}
+
+// Show returns the document in force.
+func (d *Daemon) Show(
+	context.Context, *connect.Request[peerpb.ShowRequest],
+) (*connect.Response[peerpb.ShowResponse], error) {
+	version, body, err := d.Document()
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(&peerpb.ShowResponse{Version: version, Body: body}), nil
+}
+
+// Edit replaces a part of the document.
+func (d *Daemon) Edit(
+	ctx context.Context, request *connect.Request[peerpb.EditRequest],
+) (*connect.Response[peerpb.EditResponse], error) {
+	m := request.Msg
+	document, err := d.spreader.Edit(ctx, m.GetPart(), m.GetName(), m.GetExpect(), m.GetBody())
+	if err != nil {
+		events.Log(d.logger, events.EditRefused, "part", m.GetPart(), "name", m.GetName(), "error", err)
+	}
+	switch {
+	case err == nil:
+		events.Log(d.logger, events.EditAccepted, "part", m.GetPart(), "name", m.GetName(), "version", document.Version())
+		return connect.NewResponse(&peerpb.EditResponse{Version: document.Version()}), nil
+	case errors.Is(err, citronusher.ErrConflict):
+		return connect.NewResponse(&peerpb.EditResponse{
+			Version: document.Version(), Conflict: true, Body: partOf(document, m.GetPart(), m.GetName()),
+		}), nil
+	case errors.Is(err, citronusher.ErrInvalid):
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	default:
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+}
+
+// partOf encodes one entry of a document; it is empty when there is none.
+func partOf(document profile.Document, part, name string) []byte {
+	var entry any
+	var ok bool
+	if part == profile.PartProfile {
+		entry, ok = document.Profile(name)
+	} else {
+		entry, ok = document.Database(name)
+	}
+	if !ok {
+		return nil
+	}
+	body, err := json.Marshal(entry)
+	if err != nil {
+		return nil
+	}
+	return body
+}
+
+// Status describes this daemon's view.
+func (d *Daemon) Status(
+	context.Context, *connect.Request[peerpb.StatusRequest],
+) (*connect.Response[peerpb.StatusResponse], error) {
+	now := d.clock.Now()
+	status := Status{
+		Instance: d.settings.Name(), Domain: d.settings.Domain(), Ready: d.ready.Load(),
+		Version: d.spreader.Document().Version(), Databases: d.homes.Report(),
+	}
+	d.mu.Lock()
+	live := map[string]bool{}
+	for _, instance := range d.view.Live(now) {
+		live[instance.Name()] = true
+	}
+	for _, instance := range d.view.Listed() {
+		status.Instances = append(status.Instances, InstanceStatus{
+			Name: instance.Name(), Peer: instance.Peer(), Domain: instance.Domain(), Live: live[instance.Name()],
+			Suspected: d.view.Suspected(instance.Name(), now),
+		})
+	}
+	d.mu.Unlock()
+	body, err := json.Marshal(status)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(&peerpb.StatusResponse{Body: body}), nil
+}
+
+// operatorService adapts the daemon to the operators' service, whose Drain only asks the program to stop the daemon.
+type operatorService struct{ *Daemon }
+
+// Drain makes the daemon's program stop it gracefully.
+func (o operatorService) Drain(
+	context.Context, *connect.Request[peerpb.DrainRequest],
+) (*connect.Response[peerpb.DrainResponse], error) {
+	o.askOnce.Do(func() {
+		events.Log(o.logger, events.DrainAsked)
+		close(o.asked)
+	})
+	return connect.NewResponse(&peerpb.DrainResponse{}), nil
+}
+
+// Explain tells where a request would go.
+func (d *Daemon) Explain(
+	_ context.Context, request *connect.Request[peerpb.ExplainRequest],
+) (*connect.Response[peerpb.ExplainResponse], error) {
+	m := request.Msg
+	document := d.spreader.Document()
+	p, ok := document.Profile(m.GetProfile())
+	if !ok {
+		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("%w: profile %q", citronusher.ErrNotFound, m.GetProfile()))
+	}
+	if _, ok := document.Database(m.GetDatabase()); !ok {
+		return nil, connect.NewError(connect.CodeNotFound,
+			fmt.Errorf("%w: database %q", citronusher.ErrNotFound, m.GetDatabase()))
+	}
+	lines := []string{"entry " + d.settings.Name() + " in " + d.settings.Domain()}
+	for i, hop := range d.Route(m.GetDatabase(), "", p.Class() == profile.ClassLong) {
+		lines = append(lines, fmt.Sprintf("home %d: %s", i+1, hop.Name()))
+	}
+	members, err := d.homes.Explain(m.GetDatabase(), m.GetProfile())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&peerpb.ExplainResponse{Lines: append(lines, members...)}), nil
+}
--- /dev/null
+++ b/entry/collect.go
@@ -0,0 +1,160 @@
+package entry
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"citronusher.example/citronusher"
+)
+
+const (
+	maxSteps      = 10_000 // messages of one exchange
+	maxStatements = 5_000  // prepared statements of one caller
+	base36        = 36
+)
+
+// collector gathers a caller's messages until an exchange is complete. Prepared statements get names made from their
+// text, so that any target connection can hold them for any caller.
+type collector struct {
+	exchange citronusher.Exchange
+	text     string // of the first statement, for the ones that the entry answers itself
+	skip     bool   // after an error the rest of an extended exchange is ignored until Sync
+}
+
+func (c *collector) empty() bool { return len(c.exchange.Steps) == 0 && !c.skip }
+
+// take returns the complete exchange and begins the next one.
+func (c *collector) take() (citronusher.Exchange, string) {
+	exchange, text := c.exchange, c.text
+	c.exchange, c.text = citronusher.Exchange{}, ""
+	return exchange, text
+}
+
+// add takes a message and reports whether it completes an exchange. statements holds the caller's prepared statements.
+func (c *collector) add(message pgproto3.FrontendMessage, statements map[string]citronusher.Step) (bool, error) {
+	if _, sync := message.(*pgproto3.Sync); c.skip && !sync {
+		return false, nil
+	}
+	if len(c.exchange.Steps) >= maxSteps || len(statements) > maxStatements {
+		return false, citronusher.Refuse(citronusher.ReasonInput, "more than %d messages without Sync, or more than %d "+
+			"prepared statements", maxSteps, maxStatements)
+	}
+	switch m := message.(type) {
+	case *pgproto3.Query:
+		c.text = m.String
+		return true, c.append(citronusher.StepQuery, "", m)
+	case *pgproto3.Sync:
+		return true, c.append(citronusher.StepSync, "", m)
+	case *pgproto3.Flush:
+		c.exchange.Partial = true
+		return len(c.exchange.Steps) > 0, nil
+	case *pgproto3.Parse:
+		return false, c.addParse(m, statements)
+	case *pgproto3.Bind:
+		name, err := c.use(m.PreparedStatement, statements)
+		if err != nil {
+			return false, err
+		}
+		m.PreparedStatement = name
+		return false, c.append(citronusher.StepBind, name, m)
+	case *pgproto3.Describe:
+		return false, c.addDescribe(m, statements)
+	case *pgproto3.Execute:
+		return false, c.append(citronusher.StepExecute, "", m)
+	case *pgproto3.Close:
+		return false, c.addClose(m, statements)
+	default:
+		return false, citronusher.Refuse(citronusher.ReasonInput, "message %T is not supported", message)
+	}
+}
+
+func (c *collector) append(kind byte, name string, message pgproto3.FrontendMessage) error {
+	raw, err := message.Encode(nil)
+	if err != nil {
+		return fmt.Errorf("encode: %w", err)
+	}
+	c.exchange.Steps = append(c.exchange.Steps, citronusher.Step{Kind: kind, Name: name, Raw: raw})
+	return nil
+}
+
+// sharedName returns the name of a statement among all callers.
+func sharedName(m *pgproto3.Parse) string {
+	var hash xxhash.Digest
+	hash.Reset()
+	_, _ = hash.WriteString(m.Query)
+	for _, oid := range m.ParameterOIDs {
+		_, _ = hash.WriteString("," + strconv.FormatUint(uint64(oid), 10))
+	}
+	return "s" + strconv.FormatUint(hash.Sum64(), base36) + strconv.FormatInt(int64(len(m.Query)), base36)
+}
+
+func (c *collector) addParse(m *pgproto3.Parse, statements map[string]citronusher.Step) error {
+	own := m.Name
+	if c.text == "" {
+		c.text = m.Query
+	}
+	m.Name = sharedName(m)
+	if err := c.append(citronusher.StepParse, m.Name, m); err != nil {
+		return err
+	}
+	statements[own] = c.exchange.Steps[len(c.exchange.Steps)-1]
+	return nil
+}
+
+// use returns the shared name of a caller's statement and adds its definition to the exchange's needs.
+func (c *collector) use(own string, statements map[string]citronusher.Step) (string, error) {
+	definition, ok := statements[own]
+	if !ok {
+		return "", citronusher.Refuse(citronusher.ReasonInput, "prepared statement %q does not exist", own)
+	}
+	if c.text == "" {
+		var parse pgproto3.Parse
+		const header = 5
+		if err := parse.Decode(definition.Raw[header:]); err != nil {
+			return "", fmt.Errorf("statement %q: %w", own, err)
+		}
+		c.text = parse.Query
+	}
+	for _, step := range c.exchange.Steps {
+		if step.Kind == citronusher.StepParse && step.Name == definition.Name {
+			return definition.Name, nil
+		}
+	}
+	c.exchange.Needs = append(c.exchange.Needs, definition)
+	return definition.Name, nil
+}
+
+func (c *collector) addDescribe(m *pgproto3.Describe, statements map[string]citronusher.Step) error {
+	if m.ObjectType != 'S' {
+		return c.append(citronusher.StepDescribe, "", m)
+	}
+	name, err := c.use(m.Name, statements)
+	if err != nil {
+		return err
+	}
+	m.Name = name
+	return c.append(citronusher.StepDescribe, name, m)
+}
+
+// addClose forgets a caller's statement. Target connections keep the shared one, so the step's name makes the home
+// answer it without asking the target.
+func (c *collector) addClose(m *pgproto3.Close, statements map[string]citronusher.Step) error {
+	if m.ObjectType != 'S' {
+		return c.append(citronusher.StepClose, "", m)
+	}
+	delete(statements, m.Name)
+	return c.append(citronusher.StepClose, "closed", m)
+}
+
+// firstWord returns a statement's first word in lower case.
+func firstWord(text string) string {
+	text = strings.TrimLeft(text, " \t\r\n(")
+	if end := strings.IndexAny(text, " \t\r\n;("); end >= 0 {
+		text = text[:end]
+	}
+	return strings.ToLower(text)
+}
--- /dev/null
+++ b/entry/local.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"regexp"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgtype"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/pg"
+)
+
+// settingPrefix begins the names of the settings that the proxy keeps for a session.
+const settingPrefix = "citronusher."
+
+var (
+	setPattern = regexp.MustCompile(
+		`(?is)^\s*set\s+(?:session\s+)?citronusher\.(\w+)\s*(?:=|\s+to\s+)\s*'?([^']*?)'?\s*;?\s*$`)
+	showPattern      = regexp.MustCompile(`(?is)^\s*show\s+citronusher\.(\w+)\s*;?\s*$`)
+	otherSetPattern  = regexp.MustCompile(`(?is)^\s*(set\s+(?:session\s+)?(\w+)|listen|unlisten)\b`)
+	transactionWords = map[string]bool{"local": true, "transaction": true, "constraints": true}
+)
+
+// set changes one of the session's settings.
+func (s *callerSession) set(name, value string) error {
+	switch name {
+	case "profile":
+		if _, ok := s.entry.config.Document().Profile(value); !ok {
+			return citronusher.Refuse(citronusher.ReasonProfile, "profile %q is not configured", value)
+		}
+		s.profile = value
+	case "token":
+		if err := s.session.Take(value); err != nil {
+			return citronusher.Refuse(citronusher.ReasonInput, "%v", err)
+		}
+	case "request":
+		s.request = value
+	default:
+		return citronusher.Refuse(citronusher.ReasonInput,
+			"citronusher.%s cannot be set (allowed: profile, request, token; session at start-up)", name)
+	}
+	return nil
+}
+
+func (s *callerSession) show(name string) (string, error) {
+	switch name {
+	case "profile":
+		return s.profile, nil
+	case "token":
+		return s.session.Token(), nil
+	case "request":
+		return s.request, nil
+	case "session":
+		return s.session.Name(), nil
+	default:
+		return "", citronusher.Refuse(citronusher.ReasonInput, "citronusher.%s does not exist", name)
+	}
+}
+
+// localAnswer is the answer to a statement that never reaches a target.
+type localAnswer struct {
+	rows []pgproto3.BackendMessage
+	tag  string
+}
+
+// answerLocally serves the statements that concern the session itself. handled is false for all others.
+func (s *callerSession) answerLocally(text string) (answer localAnswer, handled bool, err error) {
+	if match := setPattern.FindStringSubmatch(text); match != nil {
+		return localAnswer{tag: "SET"}, true, s.set(strings.ToLower(match[1]), match[2])
+	}
+	if match := showPattern.FindStringSubmatch(text); match != nil {
+		value, err := s.show(strings.ToLower(match[1]))
+		return localAnswer{rows: showRows(match[1], value), tag: "SHOW"}, true, err
+	}
+	if s.aborted {
+		return s.answerAborted(text)
+	}
+	if match := otherSetPattern.FindStringSubmatch(text); match != nil && !transactionWords[strings.ToLower(match[2])] {
+		return localAnswer{}, true, citronusher.Refuse(citronusher.ReasonInput,
+			"%s is not supported: target connections are shared, so that a setting would not stay with this session; "+
+				"use SET LOCAL in a transaction", strings.TrimSpace(match[0]))
+	}
+	return localAnswer{}, false, nil
+}
+
+// answerAborted serves a session whose open transaction is already rolled back: it must end it first, so that none of
+// its later statements runs outside the transaction that it was meant for.
+func (s *callerSession) answerAborted(text string) (localAnswer, bool, error) {
+	switch firstWord(text) {
+	case "rollback", "abort", "commit", "end":
+		s.aborted = false
+		s.status = pg.StatusIdle
+		return localAnswer{tag: "ROLLBACK"}, true, nil
+	default:
+		return localAnswer{}, true, citronusher.Refuse(citronusher.ReasonGone,
+			"the transaction is rolled back, because its target connection broke; commands are ignored until ROLLBACK")
+	}
+}
+
+func showRows(name, value string) []pgproto3.BackendMessage {
+	field := pgproto3.FieldDescription{
+		Name: []byte(settingPrefix + name), DataTypeOID: pgtype.TextOID, DataTypeSize: -1, TypeModifier: -1,
+	}
+	return []pgproto3.BackendMessage{
+		&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{field}},
+		&pgproto3.DataRow{Values: [][]byte{[]byte(value)}},
+	}
+}
+
+// sendLocal writes a local answer in the shape that the exchange asks for.
+func (s *callerSession) sendLocal(exchange citronusher.Exchange, answer localAnswer) error {
+	for _, step := range exchange.Steps {
+		var messages []pgproto3.BackendMessage
+		switch step.Kind {
+		case citronusher.StepQuery:
+			messages = append(messages, answer.rows...)
+			messages = append(messages, &pgproto3.CommandComplete{CommandTag: []byte(answer.tag)})
+		case citronusher.StepParse:
+			messages = append(messages, &pgproto3.ParseComplete{})
+		case citronusher.StepBind:
+			messages = append(messages, &pgproto3.BindComplete{})
+		case citronusher.StepClose:
+			messages = append(messages, &pgproto3.CloseComplete{})
+		case citronusher.StepDescribe:
+			messages = describeLocal(step, answer)
+		case citronusher.StepExecute:
+			if len(answer.rows) > 0 {
+				messages = append(messages, answer.rows[1:]...)
+			}
+			messages = append(messages, &pgproto3.CommandComplete{CommandTag: []byte(answer.tag)})
+		}
+		if err := s.send(messages...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// describeLocal answers a Describe step. One of a statement carries the statement's name.
+func describeLocal(step citronusher.Step, answer localAnswer) []pgproto3.BackendMessage {
+	var messages []pgproto3.BackendMessage
+	if step.Name != "" {
+		messages = append(messages, &pgproto3.ParameterDescription{})
+	}
+	if len(answer.rows) == 0 {
+		return append(messages, &pgproto3.NoData{})
+	}
+	return append(messages, answer.rows[0])
+}
--- /dev/null
+++ b/entry/run.go
@@ -0,0 +1,195 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/events"
+	"citronusher.example/citronusher/pg"
+	"citronusher.example/citronusher/profile"
+	"citronusher.example/citronusher/retry"
+)
+
+// serveExchange answers the exchange that is complete. Its error ends the session.
+func (s *callerSession) serveExchange() error {
+	exchange, text := s.exchange.take()
+	s.streamed = false
+	startedAt := time.Now()
+	s.entry.config.Meter.Requests().Inc(1)
+	if s.exchange.skip {
+		s.exchange.skip = exchange.Partial
+		return s.finish(exchange.Partial)
+	}
+	if len(exchange.Steps) == 1 && exchange.Steps[0].Kind == citronusher.StepSync && !s.pinned {
+		return s.finish(false)
+	}
+	answer, local, err := s.answerLocally(text)
+	switch {
+	case local && err == nil:
+		err = s.sendLocal(exchange, answer)
+	case !local:
+		err = s.run(exchange)
+		if !s.open() {
+			s.request = ""
+		}
+	}
+	if err != nil {
+		if err := s.fail(exchange, citronusher.AsFailure(err)); err != nil {
+			return err
+		}
+	}
+	s.entry.config.Meter.Latency().Update(time.Since(startedAt).Microseconds())
+	return s.finish(exchange.Partial)
+}
+
+// fail answers with a failure and sets the transaction's state after it.
+func (s *callerSession) fail(exchange citronusher.Exchange, f *citronusher.Failure) error {
+	s.entry.config.Meter.Failed(f)
+	if f.Outcome() == citronusher.Unknown {
+		events.Log(s.entry.config.Logger, events.RequestUnknown, "database", s.database, "reason", string(f.Reason()))
+	}
+	if !s.streamed {
+		s.out = s.out[:0]
+	}
+	s.exchange.skip = exchange.Partial
+	return s.send(pg.ErrorMessage(f, "ERROR"))
+}
+
+// run sends an exchange to a home, and again while that is allowed.
+func (s *callerSession) run(exchange citronusher.Exchange) error {
+	p, ok := s.entry.config.Document().Profile(s.profile)
+	if !ok {
+		return citronusher.Refuse(citronusher.ReasonProfile, "profile %q is not configured any more", s.profile)
+	}
+	ctx, cancel := context.WithCancel(s.entry.ctx)
+	defer cancel()
+	s.setRunning(cancel)
+	defer s.setRunning(nil)
+	request := s.newRequest(exchange, p)
+	budget := s.entry.budget(s.database)
+	budget.Earn()
+	wasPinned := s.pinned
+	for attempt := 0; ; attempt++ {
+		result, err := s.try(ctx, request, p, attempt)
+		if err == nil {
+			return s.took(result)
+		}
+		f := citronusher.AsFailure(err)
+		if f.Reason() == citronusher.ReasonLost {
+			s.session.Reset(s.database, citronusher.Position{})
+		}
+		//nolint:gosec // backoff needs no secrecy
+		delay := retry.Delay(attempt, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		next := retry.Try{
+			Failure: f, Repeat: p.Repeat(), Marked: request.ID != "" && p.Repeat() == profile.RepeatNever,
+			Streamed: s.streamed, Pinned: wasPinned, RetryAt: time.Now().Add(delay), Deadline: request.Deadline,
+		}
+		if !retry.Allowed(next) || ctx.Err() != nil {
+			s.lost(wasPinned, exchange, f)
+			return f
+		}
+		if retry.Costs(f.Reason()) && !budget.Spend() {
+			s.lost(wasPinned, exchange, f)
+			return s.overBudget(f)
+		}
+		s.entry.config.Meter.Retried(f.Reason())
+		s.out = s.out[:0]
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// overBudget is the failure of a request whose retry the budget does not allow.
+func (s *callerSession) overBudget(f *citronusher.Failure) *citronusher.Failure {
+	if f.Outcome() != citronusher.NotRun {
+		return f
+	}
+	return citronusher.Refuse(citronusher.ReasonBudget, "%s; the database's retry budget is spent", f.Message())
+}
+
+func (s *callerSession) setRunning(cancel context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running = cancel
+}
+
+func (s *callerSession) newRequest(exchange citronusher.Exchange, p profile.Profile) citronusher.Request {
+	seen, known := s.session.Seen(s.database)
+	return citronusher.Request{
+		Database: s.database, Profile: s.profile, Caller: s.caller, ID: s.request, Seen: seen, Known: known,
+		Deadline: s.entry.config.Clock.Now().Add(p.Limit()), Exchange: exchange,
+	}
+}
+
+// try asks one home.
+func (s *callerSession) try(
+	ctx context.Context, request citronusher.Request, p profile.Profile, attempt int,
+) (citronusher.Result, error) {
+	if !s.pinned {
+		if err := s.choose(ctx, p, attempt); err != nil {
+			return citronusher.Result{}, err
+		}
+	}
+	if !s.hop.local {
+		s.entry.config.Meter.Forwarded().Inc(1)
+	}
+	result, err := s.work.Do(ctx, request, s.sink)
+	if err != nil {
+		if citronusher.AsFailure(err).Reason() == citronusher.ReasonPeer {
+			s.entry.config.Router.Failed(s.hop.name)
+		}
+		s.dropWork()
+	}
+	return result, err
+}
+
+// choose opens a work at the home to ask, keeping the open one when it is the same daemon.
+func (s *callerSession) choose(ctx context.Context, p profile.Profile, attempt int) error {
+	hops := s.entry.config.Router.Route(s.database, s.caller, p.Class() == profile.ClassLong)
+	if len(hops) == 0 {
+		return citronusher.Refuse(citronusher.ReasonPeer, "no daemon serves database %q now", s.database)
+	}
+	hop := hops[attempt%len(hops)]
+	if s.work != nil && s.hop.name == hop.name {
+		return nil
+	}
+	s.dropWork()
+	work, err := hop.home.Open(ctx, s.database)
+	if err != nil {
+		if citronusher.AsFailure(err).Reason() == citronusher.ReasonPeer {
+			s.entry.config.Router.Failed(hop.name)
+		}
+		return err
+	}
+	s.work, s.hop = work, hop
+	return nil
+}
+
+// took records what a result says of the session.
+func (s *callerSession) took(result citronusher.Result) error {
+	s.pinned = result.Pinned
+	s.status = result.Status
+	if s.session.Advance(s.database, result.Position) {
+		return s.send(&pgproto3.ParameterStatus{Name: settingPrefix + "token", Value: s.session.Token()})
+	}
+	return nil
+}
+
+// lost sets the state of a session whose transaction's connection is gone. A transaction that was not at its commit
+// must still be ended by its caller.
+func (s *callerSession) lost(wasPinned bool, exchange citronusher.Exchange, f *citronusher.Failure) {
+	if !wasPinned {
+		return
+	}
+	s.aborted = f.Outcome() == citronusher.NotRun && !pg.MayCommit(exchange)
+	s.status = pg.StatusIdle
+	if s.aborted {
+		s.status = pg.StatusFailed
+	}
+}
--- /dev/null
+++ b/entry/session.go
@@ -0,0 +1,240 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/events"
+	"citronusher.example/citronusher/pg"
+	"citronusher.example/citronusher/session"
+)
+
+const (
+	writeLimit = 30 * time.Second // for a caller to take a part of its answer
+	flushSize  = 32 << 10         // bytes of an answer that are written at once
+	workIdle   = 10 * time.Second // after which an unused stream to a home is closed
+)
+
+// countingReader counts the bytes that were read since the last whole message, so that an idle session can be told from
+// one in the middle of a message.
+type countingReader struct {
+	conn    net.Conn
+	pending int
+}
+
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.conn.Read(p)
+	r.pending += n
+	return n, err
+}
+
+// callerSession is one caller's connection. Its loop is the only user of the fields that mu does not guard.
+type callerSession struct {
+	entry    *Entry
+	conn     net.Conn
+	reader   *countingReader
+	backend  *pgproto3.Backend
+	user     string
+	caller   string
+	database string
+	process  uint32
+	secret   uint32
+
+	session    *session.Session
+	profile    string
+	request    string // identity of the next non-repeatable request
+	statements map[string]citronusher.Step
+	status     byte
+	aborted    bool // the open transaction's target connection is gone
+	hop        Hop
+	work       citronusher.Work
+	pinned     bool
+	out        []byte
+	streamed   bool
+	exchange   collector
+
+	mu      sync.Mutex
+	running context.CancelFunc
+}
+
+// cancelRunning cancels the request in progress.
+func (s *callerSession) cancelRunning() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running != nil {
+		s.running()
+	}
+}
+
+// wake makes a session that waits for its caller look whether the entry drains.
+func (s *callerSession) wake() { _ = s.conn.SetReadDeadline(time.Now()) }
+
+// loop serves exchanges until the connection ends.
+func (s *callerSession) loop() {
+	s.status = pg.StatusIdle
+	for {
+		message, err := s.receive()
+		if err != nil {
+			s.closeAfter(err)
+			return
+		}
+		if _, ok := message.(*pgproto3.Terminate); ok {
+			return
+		}
+		complete, err := s.exchange.add(message, s.statements)
+		if err != nil {
+			err = s.failMessage(citronusher.AsFailure(err))
+		}
+		if err != nil {
+			return
+		}
+		if !complete {
+			continue
+		}
+		if err := s.serveExchange(); err != nil {
+			events.Log(s.entry.config.Logger, events.CallerFailed, "user", s.user, "error", err)
+			return
+		}
+		s.reader.pending = 0
+	}
+}
+
+// failMessage answers a message that cannot be taken. The rest of its exchange is ignored until Sync.
+func (s *callerSession) failMessage(f *citronusher.Failure) error {
+	s.entry.config.Meter.Failed(f)
+	s.exchange = collector{skip: true}
+	if err := s.send(pg.ErrorMessage(f, "ERROR")); err != nil {
+		return err
+	}
+	return s.flush()
+}
+
+// errLeaving ends an idle session of a draining entry; errIdle one that left its transaction idle.
+var (
+	errLeaving = errors.New("entry drains")
+	errIdle    = errors.New("transaction was left idle")
+)
+
+// receive reads the next message. It wakes up for a drain, for a transaction that is left idle and to close an unused
+// stream to a home.
+func (s *callerSession) receive() (pgproto3.FrontendMessage, error) {
+	idleDeadline := time.Now().Add(s.entry.config.Idle)
+	for {
+		idle := s.reader.pending == 0 && s.exchange.empty()
+		if idle && !s.open() && s.entry.isDraining() {
+			return nil, errLeaving
+		}
+		s.armDeadline(idle, idleDeadline)
+		message, err := s.backend.Receive()
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return message, err
+		}
+		switch {
+		case s.open() && !time.Now().Before(idleDeadline):
+			return nil, errIdle
+		case !s.open() && s.reader.pending == 0:
+			s.dropWork()
+		}
+	}
+}
+
+// armDeadline sets when the wait for the caller is interrupted.
+func (s *callerSession) armDeadline(idle bool, idleDeadline time.Time) {
+	deadline := time.Time{}
+	switch {
+	case s.open():
+		deadline = idleDeadline
+	case idle && s.work != nil:
+		deadline = time.Now().Add(workIdle)
+	}
+	_ = s.conn.SetReadDeadline(deadline)
+	if s.entry.isDraining() && !s.open() && s.reader.pending == 0 {
+		s.wake() // a drain that began before the deadline was set
+	}
+}
+
+// open reports whether a transaction is open.
+func (s *callerSession) open() bool { return s.pinned || s.status != pg.StatusIdle }
+
+// closeAfter ends the session with the error that the caller must see, if any.
+func (s *callerSession) closeAfter(err error) {
+	switch {
+	case errors.Is(err, errLeaving):
+		s.fatal(citronusher.Refuse(citronusher.ReasonLeaving,
+			"the daemon is stopping and the session is idle; connect again to reach another"))
+	case errors.Is(err, errIdle):
+		s.fatal(citronusher.Refuse(citronusher.ReasonDeadline,
+			"the transaction was left idle too long and is rolled back"))
+	default:
+		var oversized *pgproto3.ExceededMaxBodyLenErr
+		if errors.As(err, &oversized) {
+			s.fatal(citronusher.Refuse(citronusher.ReasonInput, "message of %d bytes is too large (allowed: up to %d bytes)",
+				oversized.ActualBodyLen, maxMessage))
+		}
+	}
+}
+
+// fatal sends an error that ends the session.
+func (s *callerSession) fatal(f *citronusher.Failure) {
+	s.entry.config.Meter.Failed(f)
+	_ = s.conn.SetWriteDeadline(time.Now().Add(writeLimit))
+	s.backend.Send(pg.ErrorMessage(f, "FATAL"))
+	_ = s.backend.Flush()
+}
+
+// sink collects encoded answers and writes them in large pieces.
+func (s *callerSession) sink(raw []byte) error {
+	s.out = append(s.out, raw...)
+	if len(s.out) < flushSize {
+		return nil
+	}
+	return s.flush()
+}
+
+func (s *callerSession) flush() error {
+	if len(s.out) == 0 {
+		return nil
+	}
+	_ = s.conn.SetWriteDeadline(time.Now().Add(writeLimit))
+	_, err := s.conn.Write(s.out)
+	s.out = s.out[:0]
+	s.streamed = true
+	return err
+}
+
+// send appends messages to the answer.
+func (s *callerSession) send(messages ...pgproto3.BackendMessage) error {
+	for _, message := range messages {
+		raw, err := message.Encode(s.out)
+		if err != nil {
+			return err
+		}
+		s.out = raw
+	}
+	return nil
+}
+
+// finish ends the answer to an exchange.
+func (s *callerSession) finish(partial bool) error {
+	if !partial {
+		if err := s.send(&pgproto3.ReadyForQuery{TxStatus: s.status}); err != nil {
+			return err
+		}
+	}
+	return s.flush()
+}
+
+// dropWork closes the stream to the home, which rolls an open transaction back.
+func (s *callerSession) dropWork() {
+	if s.work != nil {
+		_ = s.work.Close()
+	}
+	s.work, s.hop, s.pinned = nil, Hop{}, false
+}
--- /dev/null
+++ b/errors.go
@@ -0,0 +1,180 @@
+package citronusher
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Sentinel errors. Callers test for them with errors.Is.
+var (
+	// ErrNotRun reports that a request certainly had no effect on its target.
+	ErrNotRun = errors.New("not run")
+	// ErrUnknown reports that a request may or may not have taken effect.
+	ErrUnknown = errors.New("outcome unknown")
+	// ErrConflict reports that a conditional write found another version than the expected one.
+	ErrConflict = errors.New("version conflict")
+	// ErrUnavailable reports that the platform did not answer, or answered that it cannot serve.
+	ErrUnavailable = errors.New("platform unavailable")
+	// ErrNotFound reports that a row or an object does not exist.
+	ErrNotFound = errors.New("not found")
+	// ErrFenced reports that a member refused an order because it knows an equal or newer term.
+	ErrFenced = errors.New("fenced by a newer term")
+	// ErrClosed reports use of a component after Close.
+	ErrClosed = errors.New("closed")
+	// ErrInvalid reports input that fails a check; the message names the field, the value and the range.
+	ErrInvalid = errors.New("invalid")
+)
+
+// Outcome says what is known of a request's effect on its target.
+type Outcome int
+
+// The outcomes of a request.
+const (
+	// Ran means that the target processed the request and answered it.
+	Ran Outcome = iota + 1
+	// NotRun means that the request certainly had no effect.
+	NotRun
+	// Unknown means that the effect could not be determined.
+	Unknown
+)
+
+// String returns the outcome as it is shown to callers.
+func (o Outcome) String() string {
+	switch o {
+	case Ran:
+		return "ran"
+	case NotRun:
+		return "not run"
+	default:
+		return "unknown"
+	}
+}
+
+// Reason is a one-word cause of a refusal or of a retry. Each has a counter.
+type Reason string
+
+// The reasons for which a request is refused, retried or ends with an unknown outcome.
+const (
+	ReasonAuth     Reason = "auth"     // the credential was refused
+	ReasonInput    Reason = "input"    // the request is malformed or unsupported
+	ReasonDatabase Reason = "database" // the database is not configured
+	ReasonProfile  Reason = "profile"  // the profile is not configured
+	ReasonPrimary  Reason = "primary"  // no primary is known
+	ReasonClosed   Reason = "closed"   // a confirmation failed; writes wait for the next good round
+	ReasonLeaving  Reason = "leaving"  // the daemon or the target is stopping
+	ReasonConnect  Reason = "connect"  // no connection to the target or peer could be made
+	ReasonPeer     Reason = "peer"     // the connection to the home daemon broke
+	ReasonLimit    Reason = "limit"    // the target has no connection left
+	ReasonQueue    Reason = "queue"    // the request could not have started before its deadline
+	ReasonFull     Reason = "full"     // the queue is full
+	ReasonDeadline Reason = "deadline" // the request's deadline passed
+	ReasonBudget   Reason = "budget"   // the retry budget is spent
+	ReasonBehind   Reason = "behind"   // replicas lag too far for a copy to be confirmed in time
+	ReasonLost     Reason = "lost"     // an earlier write of the session did not survive a promotion
+	ReasonBroken   Reason = "broken"   // the target connection broke while the request ran
+	ReasonConfirm  Reason = "confirm"  // the commit could not be confirmed under an unchanged term
+	ReasonCancel   Reason = "cancel"   // the caller cancelled the request
+	ReasonReplica  Reason = "replica"  // a replica refused the statement
+	ReasonRepeat   Reason = "repeat"   // a non-repeatable request was already decided
+	ReasonGone     Reason = "gone"     // the caller's pinned target connection no longer exists
+)
+
+// Reasons lists every reason, in the order in which they are documented.
+func Reasons() []Reason {
+	return []Reason{
+		ReasonAuth, ReasonInput, ReasonDatabase, ReasonProfile, ReasonPrimary, ReasonClosed, ReasonLeaving,
+		ReasonConnect, ReasonPeer, ReasonLimit, ReasonQueue, ReasonFull, ReasonDeadline, ReasonBudget, ReasonBehind,
+		ReasonLost, ReasonBroken, ReasonConfirm, ReasonCancel, ReasonReplica, ReasonRepeat, ReasonGone,
+	}
+}
+
+// codes maps a reason to the SQLSTATE of a request that did not run for it.
+var codes = map[Reason]string{
+	ReasonAuth:     "28P01",
+	ReasonInput:    "0A000",
+	ReasonDatabase: "3D000",
+	ReasonProfile:  "22023",
+	ReasonLeaving:  "57P01",
+	ReasonLimit:    "53300",
+	ReasonQueue:    "53000",
+	ReasonFull:     "53000",
+	ReasonBudget:   "53000",
+	ReasonDeadline: "57014",
+	ReasonCancel:   "57014",
+	ReasonLost:     "UC001",
+	ReasonReplica:  "25006",
+	ReasonRepeat:   "UC002",
+	ReasonGone:     "25P02",
+}
+
+const (
+	codeUnknown     = "08007" // transaction_resolution_unknown
+	codeUnreachable = "57P03" // cannot_connect_now
+)
+
+// Failure is the error of one request: what is known of its effect, why it failed, and the text for its caller.
+type Failure struct {
+	outcome Outcome
+	reason  Reason
+	message string
+}
+
+// NewFailure returns the failure of a request that ended with outcome for reason.
+func NewFailure(outcome Outcome, reason Reason, format string, args ...any) *Failure {
+	return &Failure{outcome: outcome, reason: reason, message: fmt.Sprintf(format, args...)}
+}
+
+// Refuse returns a failure that says that the request did not run.
+func Refuse(reason Reason, format string, args ...any) *Failure {
+	return NewFailure(NotRun, reason, format, args...)
+}
+
+// Doubt returns a failure that says that the request's outcome is unknown.
+func Doubt(reason Reason, format string, args ...any) *Failure {
+	return NewFailure(Unknown, reason, format, args...)
+}
+
+// Outcome returns what is known of the request's effect.
+func (f *Failure) Outcome() Outcome { return f.outcome }
+
+// Reason returns the one-word cause.
+func (f *Failure) Reason() Reason { return f.reason }
+
+// Message returns the text for the caller, without the outcome.
+func (f *Failure) Message() string { return f.message }
+
+// Code returns the SQLSTATE of the failure.
+func (f *Failure) Code() string {
+	if f.outcome == Unknown {
+		return codeUnknown
+	}
+	if code, ok := codes[f.reason]; ok {
+		return code
+	}
+	return codeUnreachable
+}
+
+// Error formats the failure with its outcome.
+func (f *Failure) Error() string { return f.outcome.String() + ": " + f.message }
+
+// Is makes errors.Is match the sentinel of the outcome.
+func (f *Failure) Is(target error) bool {
+	switch target {
+	case ErrNotRun:
+		return f.outcome == NotRun
+	case ErrUnknown:
+		return f.outcome == Unknown
+	default:
+		return false
+	}
+}
+
+// AsFailure returns err as a failure. An error that is not one becomes a failure with an unknown outcome, because
+// nothing proves that the request did not run.
+func AsFailure(err error) *Failure {
+	var failure *Failure
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return Doubt(ReasonBroken, "%v", err)
+}
--- /dev/null
+++ b/events/events.go
@@ -0,0 +1,98 @@
+// Package events numbers the log messages. docs/EVENTS.md is their catalogue.
+package events
+
+import "log/slog"
+
+// Event is the number of a log message.
+type Event int
+
+// The events. Hundreds group them: 1 process, 2 configuration, 3 instances, 4 groups, 5 callers, 6 operators.
+const (
+	Started         Event = 101
+	Ready           Event = 102
+	Stopping        Event = 103
+	Stopped         Event = 104
+	DocumentApplied Event = 201
+	DocumentRefused Event = 202
+	PlatformDown    Event = 203
+	PlatformBack    Event = 204
+	InstanceChanged Event = 301
+	PeerFailed      Event = 302
+	HomeOpened      Event = 401
+	HomeClosed      Event = 402
+	ProbeFailed     Event = 403
+	Promoting       Event = 404
+	Promoted        Event = 405
+	PromotionFailed Event = 406
+	Following       Event = 407
+	WritesClosed    Event = 408
+	WritesOpened    Event = 409
+	TermPublished   Event = 410
+	Settled         Event = 411
+	SignInRefused   Event = 501
+	CallerFailed    Event = 502
+	RequestUnknown  Event = 503
+	EditAccepted    Event = 601
+	EditRefused     Event = 602
+	DrainAsked      Event = 603
+)
+
+type entry struct {
+	level slog.Level
+	text  string
+}
+
+var catalogue = map[Event]entry{
+	Started:         {slog.LevelInfo, "daemon started"},
+	Ready:           {slog.LevelInfo, "daemon is ready"},
+	Stopping:        {slog.LevelInfo, "daemon is stopping; running requests are finished"},
+	Stopped:         {slog.LevelInfo, "daemon stopped"},
+	DocumentApplied: {slog.LevelInfo, "configuration version is in force"},
+	DocumentRefused: {slog.LevelError, "configuration version failed its checks and is not used"},
+	PlatformDown:    {slog.LevelWarn, "platform does not answer"},
+	PlatformBack:    {slog.LevelInfo, "platform answers again"},
+	InstanceChanged: {slog.LevelInfo, "instances changed"},
+	PeerFailed:      {slog.LevelWarn, "peer does not answer; other homes are asked first"},
+	HomeOpened:      {slog.LevelInfo, "home of a database opened"},
+	HomeClosed:      {slog.LevelInfo, "home of a database closed"},
+	ProbeFailed:     {slog.LevelWarn, "member stopped answering probes"},
+	Promoting:       {slog.LevelWarn, "primary is lost; claiming a new term"},
+	Promoted:        {slog.LevelWarn, "member was promoted"},
+	PromotionFailed: {slog.LevelWarn, "promotion failed; trying again later"},
+	Following:       {slog.LevelInfo, "member was ordered to follow the primary"},
+	WritesClosed:    {slog.LevelWarn, "term could not be confirmed; writes are refused"},
+	WritesOpened:    {slog.LevelInfo, "term is confirmed again; writes are accepted"},
+	TermPublished:   {slog.LevelInfo, "term was published in the table"},
+	Settled:         {slog.LevelInfo, "outcome of a non-repeatable request was looked up"},
+	SignInRefused:   {slog.LevelWarn, "caller's sign-in was refused"},
+	CallerFailed:    {slog.LevelDebug, "caller's connection failed"},
+	RequestUnknown:  {slog.LevelWarn, "request ended with an unknown outcome"},
+	EditAccepted:    {slog.LevelInfo, "operator's edit was accepted"},
+	EditRefused:     {slog.LevelWarn, "operator's edit was refused"},
+	DrainAsked:      {slog.LevelInfo, "operator asked the daemon to drain"},
+}
+
+// All returns the numbers and texts of every event.
+func All() map[Event]string {
+	texts := make(map[Event]string, len(catalogue))
+	for event, e := range catalogue {
+		texts[event] = e.text
+	}
+	return texts
+}
+
+// Log writes the event with its catalogued level and text. args are slog key-value pairs.
+func Log(logger *slog.Logger, event Event, args ...any) {
+	e := catalogue[event]
+	args = append([]any{"event", int(event)}, args...)
+	switch e.level {
+	case slog.LevelError:
+		logger.Error(e.text, args...)
+	case slog.LevelWarn:
+		logger.Warn(e.text, args...)
+	case slog.LevelInfo:
+		logger.Info(e.text, args...)
+	default:
+		logger.Debug(e.text, args...)
+	}
+}
--- /dev/null
+++ b/group/group.go
@@ -0,0 +1,154 @@
+// Package group adapts a database group member's control statements to the root package's Target.
+//
+// It holds every assumption about how groups expose terms and log positions, and how they take orders: the functions
+// group_state, group_fence, group_promote and group_follow, called by SQL.
+package group
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/pg"
+)
+
+// columns of the answer of every control function.
+const (
+	columnRole = iota
+	columnTerm
+	columnLogTerm
+	columnOffset
+	columnHeard
+	columnAge
+	columnBranches
+	columnCount
+)
+
+// Target is the control connection to one member. Its methods may be called concurrently; they take turns.
+type Target struct {
+	login    pg.Login
+	address  string
+	database string
+	clock    citronusher.Clock
+	turn     chan struct{} // holds one token
+	conn     *pgconn.PgConn
+}
+
+// New returns a target that connects when it is first used.
+func New(login pg.Login, address, database string, clock citronusher.Clock) *Target {
+	t := &Target{login: login, address: address, database: database, clock: clock, turn: make(chan struct{}, 1)}
+	t.turn <- struct{}{}
+	return t
+}
+
+// State asks for the member's role, term and position.
+func (t *Target) State(ctx context.Context) (citronusher.MemberState, error) {
+	return t.call(ctx, "SELECT group_state()")
+}
+
+// Fence makes the member refuse everything under older terms.
+func (t *Target) Fence(ctx context.Context, term uint64, claimant string) (citronusher.MemberState, error) {
+	return t.call(ctx, fmt.Sprintf("SELECT group_fence(%d, '%s')", term, claimant))
+}
+
+// Promote makes the member the primary of term.
+func (t *Target) Promote(ctx context.Context, term uint64, claimant string) (citronusher.MemberState, error) {
+	return t.call(ctx, fmt.Sprintf("SELECT group_promote(%d, '%s')", term, claimant))
+}
+
+// Follow makes the member a replica of address under term.
+func (t *Target) Follow(ctx context.Context, term uint64, address string) error {
+	_, err := t.call(ctx, fmt.Sprintf("SELECT group_follow(%d, '%s')", term, address))
+	return err
+}
+
+// call runs a control function and reads the state that it returns.
+func (t *Target) call(ctx context.Context, sql string) (citronusher.MemberState, error) {
+	select {
+	case <-t.turn:
+	case <-ctx.Done():
+		return citronusher.MemberState{}, fmt.Errorf("%s: %w", t.address, ctx.Err())
+	}
+	defer func() { t.turn <- struct{}{} }()
+	if t.conn == nil || t.conn.IsClosed() {
+		conn, err := t.login.Connect(ctx, t.address, t.database)
+		if err != nil {
+			return citronusher.MemberState{}, fmt.Errorf("connect to %s: %w", t.address, err)
+		}
+		t.conn = conn
+	}
+	askedAt := t.clock.Now()
+	results, err := t.conn.Exec(ctx, sql).ReadAll()
+	if err != nil {
+		return citronusher.MemberState{}, orderError(t.address, err)
+	}
+	if len(results) != 1 || len(results[0].Rows) != 1 || len(results[0].Rows[0]) != columnCount {
+		return citronusher.MemberState{}, fmt.Errorf("%w: %s: malformed state", citronusher.ErrInvalid, t.address)
+	}
+	return parseState(results[0].Rows[0], askedAt)
+}
+
+func orderError(address string, err error) error {
+	var answer *pgconn.PgError
+	if errors.As(err, &answer) && strings.Contains(answer.Message, citronusher.ErrFenced.Error()) {
+		return fmt.Errorf("%w: %s: %s", citronusher.ErrFenced, address, answer.Message)
+	}
+	return fmt.Errorf("%s: %w", address, err)
+}
+
+func parseState(row [][]byte, askedAt time.Time) (citronusher.MemberState, error) {
+	numbers := make([]uint64, columnCount)
+	for _, column := range []int{columnTerm, columnLogTerm, columnOffset, columnHeard, columnAge} {
+		number, err := strconv.ParseUint(string(row[column]), 10, 63)
+		if err != nil {
+			return citronusher.MemberState{}, fmt.Errorf("%w: state column %d: %w", citronusher.ErrInvalid, column, err)
+		}
+		numbers[column] = number
+	}
+	branches, err := parseBranches(string(row[columnBranches]))
+	if err != nil {
+		return citronusher.MemberState{}, err
+	}
+	position := citronusher.NewPosition(numbers[columnLogTerm], numbers[columnOffset])
+	state := citronusher.NewMemberState(citronusher.Role(row[columnRole]), numbers[columnTerm], position, branches, askedAt)
+	return state.WithReplication(before(askedAt, numbers[columnHeard]), before(askedAt, numbers[columnAge])), nil
+}
+
+// before returns the time the given milliseconds before at.
+func before(at time.Time, milliseconds uint64) time.Time {
+	const longest = uint64(1 << 40)
+	return at.Add(-time.Duration(min(milliseconds, longest)) * time.Millisecond)
+}
+
+func parseBranches(text string) ([]citronusher.Branch, error) {
+	var branches []citronusher.Branch
+	for _, pair := range strings.Split(text, ",") {
+		if pair == "" {
+			continue
+		}
+		var term, start uint64
+		if _, err := fmt.Sscanf(pair, "%d:%d", &term, &start); err != nil {
+			return nil, fmt.Errorf("%w: branch %q", citronusher.ErrInvalid, pair)
+		}
+		branches = append(branches, citronusher.NewBranch(term, start))
+	}
+	return branches, nil
+}
+
+// Close drops the connection after the call in progress.
+func (t *Target) Close() error {
+	<-t.turn
+	defer func() { t.turn <- struct{}{} }()
+	if t.conn == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return t.conn.Close(ctx)
+}
--- /dev/null
+++ b/home/target.go
@@ -0,0 +1,188 @@
+package home
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/admit"
+	"citronusher.example/citronusher/group"
+	"citronusher.example/citronusher/pg"
+	"citronusher.example/citronusher/pool"
+	"citronusher.example/citronusher/profile"
+)
+
+const (
+	longAfter  = 500 * time.Millisecond // a request that runs longer counts as long
+	failingFor = 500 * time.Millisecond // how long a target is avoided after a failed connection
+	farAway    = 24 * time.Hour
+	spareConns = 1
+)
+
+// target is one group member at this home: its control connection, its pool and its admission queue.
+type target struct {
+	database *database
+	control  *group.Target
+	pool     *pool.Pool
+	done     chan struct{}
+	asking   atomic.Int32 // unanswered questions of confirmation rounds
+
+	mu        sync.Mutex
+	member    profile.Member
+	queue     *admit.Queue
+	waits     map[*admit.Ticket]chan error
+	failUntil time.Time
+	closed    bool
+}
+
+func newTarget(d *database, m profile.Member) *target {
+	config := d.set.config
+	share := d.set.share(d.config) - 1 // one is the control connection
+	dial := func(ctx context.Context) (*pg.Conn, error) { return config.Login.Dial(ctx, m.Address(), d.name) }
+	t := &target{
+		database: d, member: m, done: make(chan struct{}), waits: map[*admit.Ticket]chan error{},
+		control: group.New(config.Login, m.Address(), d.name, config.Clock),
+		pool:    pool.New(dial, share, min(spareConns, share)),
+	}
+	if config.Policy.Queue {
+		start := max(1, d.config.Slots()/max(1, d.config.Homes()))
+		t.queue = admit.New(config.Policy.Limiter(start, 1, share), max(1, d.config.Slots()-1), longAfter)
+	} else {
+		t.queue = admit.New(admit.Fixed(share), share, farAway)
+	}
+	return t
+}
+
+func (t *target) address() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.member.Address()
+}
+
+func (t *target) setMember(m profile.Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.member = m
+}
+
+// load returns the running and waiting requests over the limit.
+func (t *target) load() float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return float64(t.queue.Running()+t.queue.Waiting()) / float64(t.queue.Limit())
+}
+
+func (t *target) failing() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.database.now().Before(t.failUntil)
+}
+
+// avoid keeps reads away from the target for a while after a failed connection.
+func (t *target) avoid() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failUntil = t.database.now().Add(failingFor)
+}
+
+// ticket returns the place of a request in the target's queue.
+func (t *target) ticket(request citronusher.Request, p profile.Profile) *admit.Ticket {
+	if !t.database.set.config.Policy.Queue {
+		return admit.NewTicket("", false, true, t.database.now().Add(farAway))
+	}
+	return admit.NewTicket(request.Caller, p.Class() == profile.ClassLong, !p.Replica(), request.Deadline)
+}
+
+// admit waits until the request may run. Its error is a *citronusher.Failure that did not run.
+func (t *target) admit(ctx context.Context, ticket *admit.Ticket) error {
+	now := t.database.now()
+	t.mu.Lock()
+	if t.closed {
+		t.mu.Unlock()
+		return citronusher.Refuse(citronusher.ReasonLeaving, "the target is no longer served here")
+	}
+	decision := t.queue.Offer(ticket, now)
+	if decision.Run {
+		t.mu.Unlock()
+		return nil
+	}
+	if !decision.Wait {
+		t.mu.Unlock()
+		return citronusher.Refuse(decision.Reason, "the target is busy: the request could not start before its deadline")
+	}
+	wait := make(chan error, 1)
+	t.waits[ticket] = wait
+	t.mu.Unlock()
+	defer func() {
+		t.database.set.config.Meter.QueueWait().Update(t.database.now().Sub(now).Microseconds())
+	}()
+	select {
+	case err := <-wait:
+		return err
+	case <-ctx.Done():
+		t.leave(ticket)
+		return citronusher.Refuse(citronusher.ReasonQueue, "the target is busy: the deadline passed in its queue")
+	}
+}
+
+// leave takes a request out of the queue, or ends it when it was admitted meanwhile.
+func (t *target) leave(ticket *admit.Ticket) {
+	t.mu.Lock()
+	delete(t.waits, ticket)
+	left := t.queue.Leave(ticket)
+	t.mu.Unlock()
+	if !left {
+		t.finish(ticket)
+	}
+}
+
+// finish ends an admitted request and wakes the next ones.
+func (t *target) finish(ticket *admit.Ticket) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	start, expired := t.queue.Finish(ticket, t.database.now())
+	for _, next := range start {
+		t.signal(next, nil)
+	}
+	for _, next := range expired {
+		t.signal(next, citronusher.Refuse(citronusher.ReasonQueue, "the target is busy: the deadline passed in its queue"))
+	}
+}
+
+// signal answers a waiting request. The caller holds mu.
+func (t *target) signal(ticket *admit.Ticket, err error) {
+	if wait, ok := t.waits[ticket]; ok {
+		delete(t.waits, ticket)
+		wait <- err
+	}
+}
+
+func (t *target) report() MemberReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return MemberReport{
+		Name: t.member.Name(), Address: t.member.Address(), Running: t.queue.Running(), Waiting: t.queue.Waiting(),
+		Limit: t.queue.Limit(), Connections: t.pool.Open(),
+	}
+}
+
+// Close refuses waiting requests, closes the idle connections and ends the probes.
+func (t *target) Close() error {
+	t.mu.Lock()
+	if t.closed {
+		t.mu.Unlock()
+		return nil
+	}
+	t.closed = true
+	close(t.done)
+	for ticket := range t.waits {
+		t.signal(ticket, citronusher.Refuse(citronusher.ReasonLeaving, "the target is no longer served here"))
+	}
+	t.mu.Unlock()
+	if err := t.pool.Close(); err != nil {
+		return err
+	}
+	return t.control.Close()
+}
--- /dev/null
+++ b/home/work.go
@@ -0,0 +1,239 @@
+package home
+
+import (
+	"context"
+	"regexp"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/admit"
+	"citronusher.example/citronusher/pg"
+	"citronusher.example/citronusher/profile"
+)
+
+// beginPattern matches a query that opens an explicit transaction; readOnlyPattern one that cannot write.
+var (
+	beginPattern    = regexp.MustCompile(`(?i)^\s*(begin|start\s+transaction)\b`)
+	readOnlyPattern = regexp.MustCompile(`(?i)\bread\s+only\b`)
+)
+
+// work is a caller's sequence of exchanges at this home. Between the first exchange of a transaction and its end it
+// holds one target connection.
+type work struct {
+	database *database
+	conn     *pg.Conn
+	target   *target
+	term     uint64
+	replica  bool
+	profile  profile.Profile
+}
+
+// Do runs one exchange.
+func (w *work) Do(ctx context.Context, request citronusher.Request, sink citronusher.Sink) (citronusher.Result, error) {
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	defer cancel()
+	w.database.use(1)
+	defer w.database.use(-1)
+	hold := &holder{sink: sink}
+	if w.conn != nil {
+		return w.proceed(ctx, request, hold)
+	}
+	p, err := w.database.set.profile(request.Profile)
+	if err != nil {
+		return citronusher.Result{}, err
+	}
+	w.profile = p
+	if !opensWrite(request.Exchange) {
+		if result, served, err := w.onReplica(ctx, request, hold); served {
+			return result, err
+		}
+	}
+	return w.onPrimary(ctx, request, hold)
+}
+
+// opensWrite reports whether the exchange opens a transaction that may write.
+func opensWrite(exchange citronusher.Exchange) bool {
+	for _, step := range exchange.Steps {
+		body := pg.StatementText(step)
+		if beginPattern.MatchString(body) && !readOnlyPattern.MatchString(body) {
+			return true
+		}
+	}
+	return false
+}
+
+// onReplica tries a replica. served is false when the primary must run the exchange: none is eligible, the connection
+// failed before the exchange ran, or the replica refused a write.
+func (w *work) onReplica(
+	ctx context.Context, request citronusher.Request, hold *holder,
+) (result citronusher.Result, served bool, err error) {
+	t, position, ok := w.database.chooseReplica(request, w.profile)
+	if !ok {
+		return result, false, nil
+	}
+	answer, err := w.runOn(ctx, t, request, hold)
+	failure := citronusher.AsFailure(err)
+	switch {
+	case err != nil && failure.Outcome() == citronusher.NotRun && !hold.streamed:
+		w.release()
+		if failure.Reason() == citronusher.ReasonConnect || failure.Reason() == citronusher.ReasonBroken {
+			t.avoid()
+		}
+		w.database.set.config.Meter.Retried(failure.Reason())
+		hold.held = hold.held[:0]
+		return result, ctx.Err() != nil, err
+	case err != nil:
+		w.release()
+		return result, true, err
+	case answer.Failed == pg.CodeReadOnly && !hold.streamed && answer.Status == pg.StatusIdle && !request.Exchange.Partial:
+		w.release()
+		w.database.set.config.Meter.Retried(citronusher.ReasonReplica)
+		hold.held = hold.held[:0]
+		return result, false, nil
+	}
+	w.replica = true
+	w.database.set.config.Meter.Replica().Inc(1)
+	result = citronusher.Result{Status: answer.Status, Replica: true, Failed: answer.Failed}
+	if w.profile.Monotonic() {
+		result.Position = position
+	}
+	result.Pinned = w.releaseUnlessOpen(answer, request.Exchange)
+	return result, true, w.deliver(hold)
+}
+
+// runOn admits the exchange on a target, takes a connection and runs it. The connection stays with the work.
+func (w *work) runOn(
+	ctx context.Context, t *target, request citronusher.Request, hold *holder,
+) (pg.Answer, error) {
+	ticket := t.ticket(request, w.profile)
+	if err := w.take(ctx, t, ticket); err != nil {
+		return pg.Answer{}, err
+	}
+	defer t.finish(ticket)
+	return w.conn.Run(ctx, request.Exchange, hold.write)
+}
+
+// take admits a request and takes a connection for it.
+func (w *work) take(ctx context.Context, t *target, ticket *admit.Ticket) error {
+	if err := t.admit(ctx, ticket); err != nil {
+		return err
+	}
+	conn, err := t.pool.Get(ctx)
+	if err != nil {
+		t.finish(ticket)
+		return err
+	}
+	w.conn, w.target, w.replica = conn, t, false
+	return nil
+}
+
+// onPrimary runs the exchange on the primary and confirms what it committed.
+func (w *work) onPrimary(ctx context.Context, request citronusher.Request, hold *holder) (citronusher.Result, error) {
+	d := w.database
+	t, current, err := d.awaitPrimary(ctx, request.Seen)
+	if err != nil {
+		return citronusher.Result{}, err
+	}
+	if err := d.checkLost(request.Seen); err != nil {
+		return citronusher.Result{}, err
+	}
+	if w.profile.Copy() {
+		if err := d.checkCopies(request.Deadline); err != nil {
+			return citronusher.Result{}, err
+		}
+	}
+	d.set.config.Meter.Primary().Inc(1)
+	w.term = current
+	if w.marked(request) {
+		return w.runMarked(ctx, t, request, hold)
+	}
+	answer, err := w.runOn(ctx, t, request, hold)
+	if err != nil {
+		w.release()
+		return citronusher.Result{}, err
+	}
+	return w.complete(ctx, request, answer, hold)
+}
+
+// proceed runs a further exchange of an open transaction, without admission: it already holds a connection and locks.
+func (w *work) proceed(ctx context.Context, request citronusher.Request, hold *holder) (citronusher.Result, error) {
+	if w.marked(request) && w.conn.Status() == pg.StatusActive && pg.MayCommit(request.Exchange) {
+		if result, done, err := w.markCommit(ctx, request, hold); done {
+			return result, err
+		}
+	}
+	answer, err := w.conn.Run(ctx, request.Exchange, hold.write)
+	if err != nil {
+		w.release()
+		if w.marked(request) && citronusher.AsFailure(err).Outcome() == citronusher.Unknown {
+			return w.settle(ctx, request, hold, err)
+		}
+		return citronusher.Result{}, err
+	}
+	return w.complete(ctx, request, answer, hold)
+}
+
+// complete confirms the transaction that the exchange ended, if it did, and passes the answer on.
+func (w *work) complete(
+	ctx context.Context, request citronusher.Request, answer pg.Answer, hold *holder,
+) (citronusher.Result, error) {
+	result := citronusher.Result{Status: answer.Status, Replica: w.replica, Failed: answer.Failed}
+	replica := w.replica
+	if result.Pinned = w.releaseUnlessOpen(answer, request.Exchange); result.Pinned {
+		return result, w.deliver(hold)
+	}
+	if !replica && answer.Tag != "ROLLBACK" {
+		position, err := w.confirmed(ctx)
+		if err != nil {
+			return citronusher.Result{}, err
+		}
+		result.Position = position
+	}
+	return result, w.deliver(hold)
+}
+
+// confirmed waits for the confirmation of everything committed before the call.
+func (w *work) confirmed(ctx context.Context) (citronusher.Position, error) {
+	if w.database.set.config.Policy.NoConfirm {
+		return citronusher.Position{}, nil
+	}
+	position, err := w.database.confirm.confirm(ctx, w.term, w.profile.Copy())
+	if err != nil {
+		return position, w.database.confirmFailure(err)
+	}
+	return position, nil
+}
+
+// deliver passes the held answer on to the caller.
+func (w *work) deliver(hold *holder) error {
+	if err := hold.release(); err != nil {
+		return citronusher.Doubt(citronusher.ReasonPeer, "the answer could not be delivered: %v", err)
+	}
+	return nil
+}
+
+// releaseUnlessOpen gives the connection back unless a transaction is open on it, and reports whether it is.
+func (w *work) releaseUnlessOpen(answer pg.Answer, exchange citronusher.Exchange) bool {
+	if answer.Status != pg.StatusIdle || exchange.Partial {
+		return true
+	}
+	w.release()
+	return false
+}
+
+// release gives the connection back; the pool closes one whose state is unknown.
+func (w *work) release() {
+	if w.conn == nil {
+		return
+	}
+	w.target.pool.Put(w.conn)
+	w.conn, w.target = nil, nil
+}
+
+// Close rolls an open transaction back by closing its connection.
+func (w *work) Close() error {
+	if w.conn != nil && w.conn.Status() != pg.StatusIdle {
+		_ = w.conn.Close()
+	}
+	w.release()
+	return nil
+}
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,146 @@
+// Package meter names every metric. docs/METRICS.md lists them with their units.
+package meter
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/rcrowley/go-metrics"
+
+	"citronusher.example/citronusher"
+)
+
+const sampleSize = 1028 // observations kept by a histogram
+
+// Meter holds a daemon's metrics.
+type Meter struct {
+	registry metrics.Registry
+	refused  map[citronusher.Reason]metrics.Counter
+	retried  map[citronusher.Reason]metrics.Counter
+	unknown  map[citronusher.Reason]metrics.Counter
+
+	callers      metrics.Counter
+	statements   metrics.Counter
+	forwarded    metrics.Counter
+	replicaReads metrics.Counter
+	primaryRuns  metrics.Counter
+	rounds       metrics.Counter
+	confirmed    metrics.Counter
+	promotions   metrics.Counter
+	probes       metrics.Counter
+	notices      metrics.Counter
+	fetches      metrics.Counter
+	polls        metrics.Counter
+	version      metrics.Gauge
+	latency      metrics.Histogram
+	queueWait    metrics.Histogram
+}
+
+// New returns a meter with every metric registered.
+func New() *Meter {
+	r := metrics.NewRegistry()
+	m := &Meter{
+		registry: r,
+		refused:  map[citronusher.Reason]metrics.Counter{},
+		retried:  map[citronusher.Reason]metrics.Counter{},
+		unknown:  map[citronusher.Reason]metrics.Counter{},
+
+		callers:      metrics.NewRegisteredCounter("callers.open", r),
+		statements:   metrics.NewRegisteredCounter("requests.all", r),
+		forwarded:    metrics.NewRegisteredCounter("requests.forwarded", r),
+		replicaReads: metrics.NewRegisteredCounter("requests.replica", r),
+		primaryRuns:  metrics.NewRegisteredCounter("requests.primary", r),
+		rounds:       metrics.NewRegisteredCounter("confirm.rounds", r),
+		confirmed:    metrics.NewRegisteredCounter("confirm.requests", r),
+		promotions:   metrics.NewRegisteredCounter("term.promotions", r),
+		probes:       metrics.NewRegisteredCounter("term.probes", r),
+		notices:      metrics.NewRegisteredCounter("spread.notices", r),
+		fetches:      metrics.NewRegisteredCounter("spread.fetches", r),
+		polls:        metrics.NewRegisteredCounter("platform.polls", r),
+		version:      metrics.NewRegisteredGauge("config.version", r),
+		latency:      metrics.NewRegisteredHistogram("requests.latency", r, metrics.NewUniformSample(sampleSize)),
+		queueWait:    metrics.NewRegisteredHistogram("requests.wait", r, metrics.NewUniformSample(sampleSize)),
+	}
+	for _, reason := range citronusher.Reasons() {
+		m.refused[reason] = metrics.NewRegisteredCounter("refused."+string(reason), r)
+		m.retried[reason] = metrics.NewRegisteredCounter("retried."+string(reason), r)
+		m.unknown[reason] = metrics.NewRegisteredCounter("unknown."+string(reason), r)
+	}
+	return m
+}
+
+// Failed counts a failure that a caller saw.
+func (m *Meter) Failed(f *citronusher.Failure) {
+	counters := m.refused
+	if f.Outcome() == citronusher.Unknown {
+		counters = m.unknown
+	}
+	if c, ok := counters[f.Reason()]; ok {
+		c.Inc(1)
+	}
+}
+
+// Retried counts a retry.
+func (m *Meter) Retried(reason citronusher.Reason) {
+	if c, ok := m.retried[reason]; ok {
+		c.Inc(1)
+	}
+}
+
+// Callers counts the open connections of callers.
+func (m *Meter) Callers() metrics.Counter { return m.callers }
+
+// Requests counts the exchanges that callers sent.
+func (m *Meter) Requests() metrics.Counter { return m.statements }
+
+// Forwarded counts the exchanges that another daemon served.
+func (m *Meter) Forwarded() metrics.Counter { return m.forwarded }
+
+// Replica counts the exchanges that a replica served.
+func (m *Meter) Replica() metrics.Counter { return m.replicaReads }
+
+// Primary counts the exchanges that a primary served.
+func (m *Meter) Primary() metrics.Counter { return m.primaryRuns }
+
+// Rounds counts the confirmation rounds.
+func (m *Meter) Rounds() metrics.Counter { return m.rounds }
+
+// Confirmed counts the exchanges that rounds confirmed.
+func (m *Meter) Confirmed() metrics.Counter { return m.confirmed }
+
+// Promotions counts the promotions that this daemon carried out.
+func (m *Meter) Promotions() metrics.Counter { return m.promotions }
+
+// Probes counts the probes of members.
+func (m *Meter) Probes() metrics.Counter { return m.probes }
+
+// Notices counts the notices sent to peers.
+func (m *Meter) Notices() metrics.Counter { return m.notices }
+
+// Fetches counts the documents fetched from peers.
+func (m *Meter) Fetches() metrics.Counter { return m.fetches }
+
+// Polls counts the reads of the platform.
+func (m *Meter) Polls() metrics.Counter { return m.polls }
+
+// Version is the configuration version in force.
+func (m *Meter) Version() metrics.Gauge { return m.version }
+
+// Latency is the time of an exchange at the entry, in microseconds.
+func (m *Meter) Latency() metrics.Histogram { return m.latency }
+
+// QueueWait is the time that an exchange waited for its admission, in microseconds.
+func (m *Meter) QueueWait() metrics.Histogram { return m.queueWait }
+
+// Names returns the names of all metrics.
+func (m *Meter) Names() []string {
+	var names []string
+	m.registry.Each(func(name string, _ any) { names = append(names, name) })
+	return names
+}
+
+// ServeHTTP writes all metrics in JSON.
+func (m *Meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(m.registry)
+}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,166 @@
+// Package operator is the operators' command line: it edits the configuration document, shows it and the daemons' views,
+// and asks daemons to drain.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/peer"
+	"citronusher.example/citronusher/peer/peerpb"
+	"citronusher.example/citronusher/profile"
+	"citronusher.example/citronusher/settings"
+)
+
+const callLimit = 10 * time.Second
+
+// The exit codes.
+const (
+	exitDone     = 0
+	exitFailed   = 1
+	exitInput    = 2
+	exitConflict = 3
+)
+
+// Global holds the flags that every command takes.
+type Global struct {
+	Daemon string `short:"d" default:"127.0.0.1:7071" env:"CITRONUSHER_DAEMON" help:"IP:PORT of a daemon's peer listener."`
+	Key    string `env:"CITRONUSHER_KEY" help:"Operators' credential; better given in the environment."`
+	TLS    bool   `env:"CITRONUSHER_TLS" help:"Use TLS."`
+	Output string `short:"o" enum:"text,json" default:"text" help:"Output format: text or json."`
+
+	out io.Writer
+}
+
+// Commands is the tree of commands.
+type Commands struct {
+	Global
+
+	Profile  profileCommands `cmd:"" help:"Show and edit profiles."`
+	Target   targetCommands  `cmd:"" help:"Show and edit databases and their members."`
+	Member   memberCommands  `cmd:"" help:"Show instances."`
+	Status   statusCommand   `cmd:"" help:"Show a daemon's view of instances and databases."`
+	Drain    drainCommand    `cmd:"" help:"Stop the daemon gracefully."`
+	Route    routeCommands   `cmd:"" help:"Explain routes."`
+	Settings settingCommands `cmd:"" help:"Check settings files."`
+}
+
+// Exit ends the program with the code that fits err.
+func Exit(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "citronusher:", err)
+	}
+	os.Exit(Code(err))
+}
+
+// Code returns the exit code for err.
+func Code(err error) int {
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.Is(err, citronusher.ErrConflict):
+		return exitConflict
+	case errors.Is(err, citronusher.ErrInvalid), connect.CodeOf(err) == connect.CodeInvalidArgument:
+		return exitInput
+	default:
+		return exitFailed
+	}
+}
+
+func (g *Global) writer() io.Writer {
+	if g.out == nil {
+		return os.Stdout
+	}
+	return g.out
+}
+
+// SetWriter sends the output elsewhere than to the standard output.
+func (g *Global) SetWriter(w io.Writer) { g.out = w }
+
+func (g *Global) client() peerpb.OperatorServiceClient {
+	scheme := "http"
+	if g.TLS {
+		scheme = "https"
+	}
+	return peerpb.NewOperatorServiceClient(http.DefaultClient, scheme+"://"+g.Daemon,
+		connect.WithInterceptors(peer.Signer(g.Key)))
+}
+
+// call bounds one call to a daemon.
+func call() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), callLimit)
+}
+
+// print writes value as JSON, or text as it is.
+func (g *Global) print(value any, text string) error {
+	if g.Output == "json" {
+		encoder := json.NewEncoder(g.writer())
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	_, err := fmt.Fprintln(g.writer(), text)
+	return err
+}
+
+// document fetches the document in force at the daemon.
+func (g *Global) document() (profile.Document, error) {
+	ctx, cancel := call()
+	defer cancel()
+	response, err := g.client().Show(ctx, connect.NewRequest(&peerpb.ShowRequest{}))
+	if err != nil {
+		return profile.Document{}, fmt.Errorf("show: %w", err)
+	}
+	return profile.Parse(response.Msg.GetBody())
+}
+
+// edit sends one edit. A conflict shows both versions.
+func (g *Global) edit(part, name string, expect uint64, file string) error {
+	var body []byte
+	var err error
+	if file != "" {
+		if body, err = os.ReadFile(file); err != nil {
+			return fmt.Errorf("%w: %w", citronusher.ErrInvalid, err)
+		}
+	}
+	ctx, cancel := call()
+	defer cancel()
+	response, err := g.client().Edit(ctx, connect.NewRequest(&peerpb.EditRequest{
+		Part: part, Name: name, Expect: expect, Body: body,
+	}))
+	if err != nil {
+		return fmt.Errorf("edit: %w", err)
+	}
+	m := response.Msg
+	if m.GetConflict() {
+		return fmt.Errorf("%w: the edit expected version %d, the current version is %d\nyours:\n%s\ncurrent:\n%s",
+			citronusher.ErrConflict, expect, m.GetVersion(), body, m.GetBody())
+	}
+	return g.print(map[string]uint64{"version": m.GetVersion()}, fmt.Sprintf("accepted as version %d", m.GetVersion()))
+}
+
+type settingCommands struct {
+	Check checkCommand `cmd:"" help:"Check a settings file."`
+}
+
+type checkCommand struct {
+	File string `arg:"" help:"Settings file."`
+}
+
+// Run checks the file.
+func (c *checkCommand) Run(g *Global) error {
+	s, err := settings.Load(c.File)
+	if err != nil {
+		return err
+	}
+	return g.print(map[string]string{"name": s.Name(), "domain": s.Domain()},
+		fmt.Sprintf("settings of %s in %s are valid", s.Name(), s.Domain()))
+}
--- /dev/null
+++ b/peer/convert.go
@@ -0,0 +1,77 @@
+package peer
+
+import (
+	"time"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/peer/peerpb"
+)
+
+func toSteps(steps []citronusher.Step) []*peerpb.Step {
+	encoded := make([]*peerpb.Step, len(steps))
+	for i, step := range steps {
+		encoded[i] = &peerpb.Step{Kind: uint32(step.Kind), Name: step.Name, Raw: step.Raw}
+	}
+	return encoded
+}
+
+func fromSteps(encoded []*peerpb.Step) []citronusher.Step {
+	steps := make([]citronusher.Step, len(encoded))
+	for i, step := range encoded {
+		//nolint:gosec // the kind is one byte
+		steps[i] = citronusher.Step{Kind: byte(step.GetKind()), Name: step.GetName(), Raw: step.GetRaw()}
+	}
+	return steps
+}
+
+func toPosition(p citronusher.Position) *peerpb.Position {
+	return &peerpb.Position{Term: p.Term(), Offset: p.Offset()}
+}
+
+func fromPosition(p *peerpb.Position) citronusher.Position {
+	return citronusher.NewPosition(p.GetTerm(), p.GetOffset())
+}
+
+// toRequest encodes a request. The deadline crosses as the time that remains, because clocks differ.
+func toRequest(r citronusher.Request, now time.Time) *peerpb.RunRequest {
+	return &peerpb.RunRequest{
+		Database: r.Database, Profile: r.Profile, Caller: r.Caller, Id: r.ID, Seen: toPosition(r.Seen), Known: r.Known,
+		Remaining: r.Deadline.Sub(now).Milliseconds(), Steps: toSteps(r.Exchange.Steps), Needs: toSteps(r.Exchange.Needs),
+		Partial: r.Exchange.Partial,
+	}
+}
+
+func fromRequest(m *peerpb.RunRequest, now time.Time) citronusher.Request {
+	return citronusher.Request{
+		Database: m.GetDatabase(), Profile: m.GetProfile(), Caller: m.GetCaller(), ID: m.GetId(),
+		Seen: fromPosition(m.GetSeen()), Known: m.GetKnown(),
+		Deadline: now.Add(time.Duration(m.GetRemaining()) * time.Millisecond),
+		Exchange: citronusher.Exchange{
+			Steps: fromSteps(m.GetSteps()), Needs: fromSteps(m.GetNeeds()), Partial: m.GetPartial(),
+		},
+	}
+}
+
+func toResult(r citronusher.Result) *peerpb.Result {
+	return &peerpb.Result{
+		Status: uint32(r.Status), Position: toPosition(r.Position), Replica: r.Replica, Pinned: r.Pinned, Failed: r.Failed,
+	}
+}
+
+func fromResult(m *peerpb.Result) citronusher.Result {
+	return citronusher.Result{
+		//nolint:gosec // the status is one byte
+		Status: byte(m.GetStatus()), Position: fromPosition(m.GetPosition()), Replica: m.GetReplica(),
+		Pinned: m.GetPinned(), Failed: m.GetFailed(),
+	}
+}
+
+func toFailure(f *citronusher.Failure) *peerpb.Failure {
+	//nolint:gosec // the outcome is a small number
+	return &peerpb.Failure{Outcome: int32(f.Outcome()), Reason: string(f.Reason()), Message: f.Message()}
+}
+
+func fromFailure(m *peerpb.Failure) *citronusher.Failure {
+	return citronusher.NewFailure(citronusher.Outcome(m.GetOutcome()), citronusher.Reason(m.GetReason()), "%s",
+		m.GetMessage())
+}
--- /dev/null
+++ b/platform.go
@@ -0,0 +1,95 @@
+package citronusher
+
+import (
+	"context"
+	"time"
+)
+
+// Row is one versioned row of the platform's table service.
+type Row struct {
+	key     string
+	version uint64
+	value   string
+}
+
+// NewRow returns a row.
+func NewRow(key string, version uint64, value string) Row {
+	return Row{key: key, version: version, value: value}
+}
+
+// Key returns the row's key.
+func (r Row) Key() string { return r.key }
+
+// Version returns the number that a conditional write must expect.
+func (r Row) Version() uint64 { return r.version }
+
+// Value returns the row's content.
+func (r Row) Value() string { return r.value }
+
+// Table is the platform's transactional table service, as far as it is used.
+type Table interface {
+	// Read returns the row under key, ErrNotFound or ErrUnavailable.
+	Read(ctx context.Context, key string) (Row, error)
+	// Write stores row if the stored version is row.Version()-1, or if no row exists and row.Version() is 1.
+	// It returns ErrConflict when another version is stored and ErrUnavailable when the outcome was not learnt.
+	Write(ctx context.Context, row Row) error
+}
+
+// Objects is the platform's object store, as far as it is used.
+type Objects interface {
+	// Get returns the object under key, ErrNotFound or ErrUnavailable.
+	Get(ctx context.Context, key string) ([]byte, error)
+	// Put stores body under key.
+	Put(ctx context.Context, key string, body []byte) error
+}
+
+// InstanceState says whether an instance takes new work.
+type InstanceState string
+
+// The states of an instance.
+const (
+	InstanceLive    InstanceState = "live"
+	InstanceLeaving InstanceState = "leaving"
+)
+
+// Instance is one daemon on one machine of the platform.
+type Instance struct {
+	name   string
+	peer   string
+	domain string
+	state  InstanceState
+}
+
+// NewInstance returns an instance whose peer listener is at the IP:PORT peer, in failure domain domain.
+func NewInstance(name, peer, domain string, state InstanceState) Instance {
+	return Instance{name: name, peer: peer, domain: domain, state: state}
+}
+
+// Name returns the instance's unique name.
+func (i Instance) Name() string { return i.name }
+
+// Peer returns the IP:PORT of the instance's peer listener.
+func (i Instance) Peer() string { return i.peer }
+
+// Domain returns the instance's failure domain.
+func (i Instance) Domain() string { return i.domain }
+
+// State returns whether the instance takes new work.
+func (i Instance) State() InstanceState { return i.state }
+
+// Instances is the platform's list of instances. The list lags behind the truth.
+type Instances interface {
+	// List returns the instances, and false when the list is unchanged since the previous call.
+	List(ctx context.Context) (instances []Instance, changed bool, err error)
+}
+
+// Clock gives the time. Decision packages take times as arguments; adapters take a Clock.
+type Clock interface {
+	Now() time.Time
+}
+
+// SystemClock is the machine's clock.
+type SystemClock struct{}
+
+// Now returns the current time.
+func (SystemClock) Now() time.Time { return time.Now() }
--- /dev/null
+++ b/position.go
@@ -0,0 +1,59 @@
+package citronusher
+
+import "fmt"
+
+// Position is a place in a database group's replicated log: the term of the primary that wrote it and the offset in
+// log records. The zero Position precedes every record.
+type Position struct {
+	term   uint64
+	offset uint64
+}
+
+// NewPosition returns the position at offset, in log records, written under term.
+func NewPosition(term, offset uint64) Position {
+	return Position{term: term, offset: offset}
+}
+
+// Term returns the term under which the position was observed.
+func (p Position) Term() uint64 { return p.term }
+
+// Offset returns the number of log records up to and including this position.
+func (p Position) Offset() uint64 { return p.offset }
+
+// IsZero reports whether p precedes every record.
+func (p Position) IsZero() bool { return p == Position{} }
+
+// Less orders positions by term, then by offset.
+func (p Position) Less(o Position) bool {
+	if p.term != o.term {
+		return p.term < o.term
+	}
+	return p.offset < o.offset
+}
+
+// Max returns the later of p and o.
+func (p Position) Max(o Position) Position {
+	if p.Less(o) {
+		return o
+	}
+	return p
+}
+
+// String formats the position as term/offset.
+func (p Position) String() string { return fmt.Sprintf("%d/%d", p.term, p.offset) }
+
+// Branch says where a term begins in the log: records past Start that carry an older term did not survive the
+// promotion.
+type Branch struct {
+	term  uint64
+	start uint64
+}
+
+// NewBranch returns the branch point of term at offset start, in log records.
+func NewBranch(term, start uint64) Branch { return Branch{term: term, start: start} }
+
+// Term returns the term that begins at this branch.
+func (b Branch) Term() uint64 { return b.term }
+
+// Start returns the offset of the last record inherited from older terms.
+func (b Branch) Start() uint64 { return b.start }
--- /dev/null
+++ b/profile/profile.go
@@ -0,0 +1,175 @@
+// Package profile holds the configuration document: the named profiles that callers pick and the databases that they
+// reach, under one version number.
+//
+// It parses, checks, edits and compares documents. It never stores or spreads them.
+package profile
+
+import (
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"time"
+
+	"citronusher.example/citronusher"
+)
+
+// Repeat says when a request may be sent again.
+type Repeat string
+
+// The repeat rules.
+const (
+	// RepeatFree marks idempotent requests: they are retried also after an unknown outcome.
+	RepeatFree Repeat = "free"
+	// RepeatSafe requests are retried only when they did not run.
+	RepeatSafe Repeat = "safe"
+	// RepeatNever requests are decided once: a request with an identity leaves a marker in its transaction, and a
+	// second request with that identity gets the first one's outcome.
+	RepeatNever Repeat = "never"
+)
+
+// Class is a work class of the admission queue.
+type Class string
+
+// The work classes.
+const (
+	ClassShort Class = "short"
+	ClassLong  Class = "long"
+)
+
+// The names of the built-in profiles.
+const (
+	Fresh  = "fresh"  // fresh reads
+	Stale  = "stale"  // may be a minute old
+	Never  = "never"  // never repeat
+	Report = "report" // long report
+)
+
+// Limits of the document's fields.
+const (
+	minLimit       = 10 * time.Millisecond
+	maxLimit       = 1 * time.Hour
+	maxAge         = 24 * time.Hour
+	maxConnections = 10_000
+	maxSlots       = 10_000
+	maxMembers     = 15
+	maxHomes       = 9
+	defaultHomes   = 3
+	defaultLimit   = "5s"
+)
+
+var namePattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+
+// fields is a profile as it is written.
+type fields struct {
+	Replica   bool   `json:"replica,omitempty"`
+	Age       string `json:"age,omitempty"`
+	Monotonic bool   `json:"monotonic,omitempty"`
+	Repeat    Repeat `json:"repeat,omitempty"`
+	Copy      bool   `json:"copy,omitempty"`
+	Class     Class  `json:"class,omitempty"`
+	Limit     string `json:"limit,omitempty"`
+}
+
+// Profile says how a request is served.
+type Profile struct {
+	name   string
+	fields fields
+	age    time.Duration
+	limit  time.Duration
+}
+
+// Name returns the profile's name.
+func (p Profile) Name() string { return p.name }
+
+// Replica reports whether replicas may serve the request.
+func (p Profile) Replica() bool { return p.fields.Replica }
+
+// Age returns how old a replica's data may be.
+func (p Profile) Age() time.Duration { return p.age }
+
+// Monotonic reports whether a read never sees less than the session's earlier reads.
+func (p Profile) Monotonic() bool { return p.fields.Monotonic }
+
+// Repeat returns when a request may be sent again.
+func (p Profile) Repeat() Repeat { return p.fields.Repeat }
+
+// Copy reports whether a write is acknowledged only once a majority of the members holds it.
+func (p Profile) Copy() bool { return p.fields.Copy }
+
+// Class returns the request's work class.
+func (p Profile) Class() Class { return p.fields.Class }
+
+// Limit returns how long a request may take in all.
+func (p Profile) Limit() time.Duration { return p.limit }
+
+// newProfile checks f and fills in the defaults.
+func newProfile(name string, f fields) (Profile, error) {
+	if !namePattern.MatchString(name) {
+		return Profile{}, invalid("profile name", name, namePattern.String())
+	}
+	if f.Repeat == "" {
+		f.Repeat = RepeatSafe
+	}
+	if f.Class == "" {
+		f.Class = ClassShort
+	}
+	if f.Limit == "" {
+		f.Limit = defaultLimit
+	}
+	switch f.Repeat {
+	case RepeatFree, RepeatSafe, RepeatNever:
+	default:
+		return Profile{}, invalid(name+".repeat", string(f.Repeat), "free, safe, never")
+	}
+	if f.Class != ClassShort && f.Class != ClassLong {
+		return Profile{}, invalid(name+".class", string(f.Class), "short, long")
+	}
+	limit, err := parseSpan(name+".limit", f.Limit, minLimit, maxLimit)
+	if err != nil {
+		return Profile{}, err
+	}
+	p := Profile{name: name, fields: f, limit: limit}
+	if f.Age != "" {
+		if p.age, err = parseSpan(name+".age", f.Age, 0, maxAge); err != nil {
+			return Profile{}, err
+		}
+	}
+	if f.Replica && f.Repeat == RepeatNever {
+		return Profile{}, invalid(name+".replica", "true", "false with repeat never")
+	}
+	return p, nil
+}
+
+func parseSpan(field, value string, low, high time.Duration) (time.Duration, error) {
+	span, err := time.ParseDuration(value)
+	if err != nil || span < low || span > high {
+		return 0, invalid(field, value, fmt.Sprintf("%s to %s", low, high))
+	}
+	return span, nil
+}
+
+func invalid(field, value, allowed string) error {
+	return fmt.Errorf("%w: %s: %q is not allowed (allowed: %s)", citronusher.ErrInvalid, field, value, allowed)
+}
+
+// builtin returns the default profiles.
+func builtin() map[string]Profile {
+	all := map[string]fields{
+		Fresh:  {},
+		Stale:  {Replica: true, Age: "1m", Repeat: RepeatFree},
+		Never:  {Repeat: RepeatNever, Copy: true, Limit: "10s"},
+		Report: {Replica: true, Age: "10m", Repeat: RepeatFree, Class: ClassLong, Limit: "10m"},
+	}
+	profiles := make(map[string]Profile, len(all))
+	for name, f := range all {
+		p, err := newProfile(name, f)
+		if err != nil {
+			panic(err) // the built-in profiles are constants
+		}
+		profiles[name] = p
+	}
+	return profiles
+}
+
+// MarshalJSON writes the profile as it is edited.
+func (p Profile) MarshalJSON() ([]byte, error) { return json.Marshal(p.fields) }
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,269 @@
+// Package settings reads a daemon's settings file: JSON with comments, checked field by field.
+package settings
+
+import (
+	"bytes"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"regexp"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"citronusher.example/citronusher"
+)
+
+// Settings are the checked content of a settings file.
+type Settings struct{ fields fields }
+
+type fields struct {
+	Name     string            `json:"name"`
+	Domain   string            `json:"domain"`
+	Entry    listener          `json:"entry"`
+	Peer     listener          `json:"peer"`
+	Health   string            `json:"health"`
+	Users    map[string]string `json:"users"`
+	Target   target            `json:"target"`
+	Keys     keys              `json:"keys"`
+	Platform platform          `json:"platform"`
+	Log      string            `json:"log"`
+	Drain    string            `json:"drain"`
+	Idle     string            `json:"idle"`
+	Limit    string            `json:"limit"`
+	Policy   policy            `json:"policy"`
+}
+
+type listener struct {
+	Address string `json:"address"`
+	Cert    string `json:"cert,omitempty"`
+	Key     string `json:"key,omitempty"`
+}
+
+type target struct {
+	User     string `json:"user"`
+	Password string `json:"password"`
+	TLS      bool   `json:"tls,omitempty"`
+}
+
+type keys struct {
+	Peer     string `json:"peer"`
+	Operator string `json:"operator"`
+}
+
+type platform struct {
+	Table   string `json:"table"`
+	Objects string `json:"objects"`
+	List    string `json:"list"`
+	Region  string `json:"region"`
+	Access  string `json:"access"`
+	Secret  string `json:"secret"`
+}
+
+// policy turns parts of the load policy off, as baselines for measurements.
+type policy struct {
+	Replicas bool `json:"replicas"`
+	Queue    bool `json:"queue"`
+	Homes    bool `json:"homes"`
+}
+
+const (
+	minKey       = 8 // characters
+	defaultPeer  = "127.0.0.1:7071"
+	defaultEntry = "127.0.0.1:5432"
+	minSpan      = 100 * time.Millisecond
+	maxSpan      = 1 * time.Hour
+)
+
+var (
+	namePattern  = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+	limitPattern = regexp.MustCompile(`^(gradient|aimd|fixed)$`)
+	logPattern   = regexp.MustCompile(`^(debug|info|warn|error)$`)
+)
+
+func defaults() fields {
+	return fields{
+		Entry: listener{Address: defaultEntry}, Peer: listener{Address: defaultPeer}, Health: "127.0.0.1:7072",
+		Log: "info", Drain: "30s", Idle: "60s", Limit: "aimd",
+		Platform: platform{Region: "local", Access: "local", Secret: "local"},
+		Policy:   policy{Replicas: true, Queue: true, Homes: true},
+	}
+}
+
+// Load reads and checks the file at path. Its error is ErrInvalid or from the file system.
+func Load(path string) (Settings, error) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(body)
+}
+
+// Parse reads and checks a settings document.
+func Parse(body []byte) (Settings, error) {
+	standard, err := hujson.Standardize(body)
+	if err != nil {
+		return Settings{}, fmt.Errorf("%w: settings: %w", citronusher.ErrInvalid, err)
+	}
+	f := defaults()
+	decoder := json.NewDecoder(bytes.NewReader(standard))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&f); err != nil {
+		return Settings{}, fmt.Errorf("%w: settings: %w", citronusher.ErrInvalid, err)
+	}
+	if err := f.check(); err != nil {
+		return Settings{}, err
+	}
+	return Settings{fields: f}, nil
+}
+
+func (f fields) check() error {
+	for _, c := range []struct {
+		field, value string
+		pattern      *regexp.Regexp
+	}{
+		{"name", f.Name, namePattern},
+		{"domain", f.Domain, namePattern},
+		{"log", f.Log, logPattern},
+		{"limit", f.Limit, limitPattern},
+	} {
+		if !c.pattern.MatchString(c.value) {
+			return invalid(c.field, c.value, c.pattern.String())
+		}
+	}
+	for field, address := range map[string]string{
+		"entry.address": f.Entry.Address, "peer.address": f.Peer.Address, "health": f.Health,
+	} {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return invalid(field, address, "IP:PORT")
+		}
+	}
+	for field, span := range map[string]string{"drain": f.Drain, "idle": f.Idle} {
+		parsed, err := time.ParseDuration(span)
+		if err != nil || parsed < minSpan || parsed > maxSpan {
+			return invalid(field, span, fmt.Sprintf("%s to %s", minSpan, maxSpan))
+		}
+	}
+	return f.checkSecrets()
+}
+
+// checkSecrets checks the secrets without repeating their values.
+func (f fields) checkSecrets() error {
+	for field, key := range map[string]string{"keys.peer": f.Keys.Peer, "keys.operator": f.Keys.Operator} {
+		if len(key) < minKey {
+			return fmt.Errorf("%w: %s: a key of %d characters is not allowed (allowed: %d characters or more)",
+				citronusher.ErrInvalid, field, len(key), minKey)
+		}
+	}
+	if f.Target.User == "" {
+		return invalid("target.user", "", "1 character or more")
+	}
+	for user, password := range f.Users {
+		if password == "" {
+			return fmt.Errorf("%w: users.%s: an empty password is not allowed", citronusher.ErrInvalid, user)
+		}
+	}
+	return nil
+}
+
+func invalid(field, value, allowed string) error {
+	return fmt.Errorf("%w: %s: %q is not allowed (allowed: %s)", citronusher.ErrInvalid, field, value, allowed)
+}
+
+// Name returns the instance's name.
+func (s Settings) Name() string { return s.fields.Name }
+
+// Domain returns the instance's failure domain.
+func (s Settings) Domain() string { return s.fields.Domain }
+
+// Entry returns the IP:PORT for callers.
+func (s Settings) Entry() string { return s.fields.Entry.Address }
+
+// EntryTLS returns the certificate for callers; nil means plain TCP.
+func (s Settings) EntryTLS() (*tls.Config, error) { return s.fields.Entry.tls("entry") }
+
+// Peer returns the IP:PORT for peers and operators.
+func (s Settings) Peer() string { return s.fields.Peer.Address }
+
+// PeerTLS returns the certificate for peers and operators; nil means plain TCP.
+func (s Settings) PeerTLS() (*tls.Config, error) { return s.fields.Peer.tls("peer") }
+
+func (l listener) tls(field string) (*tls.Config, error) {
+	if l.Cert == "" && l.Key == "" {
+		return nil, nil //nolint:nilnil // no certificate means plain TCP
+	}
+	certificate, err := tls.LoadX509KeyPair(l.Cert, l.Key)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %s.cert: %w", citronusher.ErrInvalid, field, err)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}, nil
+}
+
+// Health returns the IP:PORT of the liveness, readiness and metrics endpoints.
+func (s Settings) Health() string { return s.fields.Health }
+
+// Password returns the password of a caller's user.
+func (s Settings) Password(user string) (string, bool) {
+	password, ok := s.fields.Users[user]
+	return password, ok
+}
+
+// TargetUser returns the user and password for targets.
+func (s Settings) TargetUser() (user, password string) {
+	return s.fields.Target.User, s.fields.Target.Password
+}
+
+// TargetTLS reports whether connections to targets use TLS.
+func (s Settings) TargetTLS() bool { return s.fields.Target.TLS }
+
+// PeerKey returns the credential between daemons.
+func (s Settings) PeerKey() string { return s.fields.Keys.Peer }
+
+// OperatorKey returns the credential of operators.
+func (s Settings) OperatorKey() string { return s.fields.Keys.Operator }
+
+// Table returns the URL of the table service.
+func (s Settings) Table() string { return s.fields.Platform.Table }
+
+// Objects returns the URL of the object store.
+func (s Settings) Objects() string { return s.fields.Platform.Objects }
+
+// List returns the URL of the instance list.
+func (s Settings) List() string { return s.fields.Platform.List }
+
+// Region returns the platform's region.
+func (s Settings) Region() string { return s.fields.Platform.Region }
+
+// Access returns the platform's access key and secret.
+func (s Settings) Access() (access, secret string) {
+	return s.fields.Platform.Access, s.fields.Platform.Secret
+}
+
+// Log returns the lowest level of log messages.
+func (s Settings) Log() string { return s.fields.Log }
+
+// Drain returns how long a planned stop waits for running work.
+func (s Settings) Drain() time.Duration { return span(s.fields.Drain) }
+
+// Idle returns how long a caller may leave a transaction idle.
+func (s Settings) Idle() time.Duration { return span(s.fields.Idle) }
+
+func span(text string) time.Duration {
+	parsed, _ := time.ParseDuration(text) // checked by Parse
+	return parsed
+}
+
+// Limit returns the name of the adaptive limit: gradient, aimd or fixed.
+func (s Settings) Limit() string { return s.fields.Limit }
+
+// UseReplicas reports whether replicas serve reads. Off is a baseline for measurements.
+func (s Settings) UseReplicas() bool { return s.fields.Policy.Replicas }
+
+// UseQueue reports whether admission has classes, fairness and early refusal. Off is a baseline for measurements.
+func (s Settings) UseQueue() bool { return s.fields.Policy.Queue }
+
+// UseHomes reports whether statements go to homes. Off, every daemon opens its even share of connections; this is a
+// baseline for measurements.
+func (s Settings) UseHomes() bool { return s.fields.Policy.Homes }
--- /dev/null
+++ b/standin/member/session.go
@@ -0,0 +1,327 @@
+package member
+
+import (
+	"context"
+	"database/sql"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgtype"
+)
+
+var (
+	errReadOnly    = errors.New("cannot execute a write: the member is not the primary of its term")
+	errAborted     = errors.New("current transaction is aborted, commands ignored until end of transaction block")
+	errUnsupported = errors.New("statement is not supported by this member")
+)
+
+const (
+	statusIdle   byte = 'I'
+	statusActive byte = 'T'
+	statusFailed byte = 'E'
+	flushRows         = 200 // rows between two flushes
+)
+
+// portal is a bound statement.
+type portal struct {
+	query   string
+	args    []any
+	formats []int16
+	rows    *rowSource
+}
+
+// session is one caller's connection.
+type session struct {
+	member   *Member
+	conn     net.Conn
+	backend  *pgproto3.Backend
+	peer     string
+	id       uint32
+	done     chan struct{}
+	cancel   context.CancelFunc // of the running statement; guarded by member.mu
+	engine   *sql.Conn
+	types    *pgtype.Map
+	prepared map[string]string
+	portals  map[string]*portal
+
+	status   byte
+	implicit bool
+	term     uint64 // term under which the open transaction writes
+	writes   []statement
+	lost     bool // the answer to this exchange is lost
+}
+
+func newSession(m *Member, conn net.Conn) *session {
+	return &session{
+		member: m, conn: conn, backend: pgproto3.NewBackend(conn, conn), done: make(chan struct{}),
+		types: pgtype.NewMap(), prepared: map[string]string{}, portals: map[string]*portal{}, status: statusIdle,
+	}
+}
+
+func (s *session) serve(ctx context.Context) {
+	defer func() { _ = s.conn.Close() }()
+	if !s.start(ctx) {
+		return
+	}
+	defer s.stop(ctx)
+	for {
+		message, err := s.backend.Receive()
+		if err != nil || !s.member.switches.pass(s.peer, ctx.Done()) {
+			return
+		}
+		if _, ok := message.(*pgproto3.Terminate); ok {
+			return
+		}
+		if !s.handle(ctx, message) {
+			return
+		}
+	}
+}
+
+// start answers the start-up message and registers the session.
+func (s *session) start(ctx context.Context) bool {
+	message, err := s.backend.ReceiveStartupMessage()
+	if err != nil {
+		return false
+	}
+	switch start := message.(type) {
+	case *pgproto3.SSLRequest:
+		if _, err := s.conn.Write([]byte{'N'}); err != nil {
+			return false
+		}
+		return s.start(ctx)
+	case *pgproto3.CancelRequest:
+		s.member.cancelSession(start.ProcessID)
+		return false
+	case *pgproto3.StartupMessage:
+		s.peer = start.Parameters["application_name"]
+	default:
+		return false
+	}
+	if !s.member.switches.pass(s.peer, ctx.Done()) {
+		return false
+	}
+	if !s.member.register(s) {
+		s.sendError("53300", "too many connections")
+		_ = s.backend.Flush()
+		return false
+	}
+	time.Sleep(s.member.options.Opening)
+	s.member.mu.Lock()
+	db := s.member.engine.db
+	s.member.mu.Unlock()
+	if s.engine, err = db.Conn(ctx); err != nil {
+		s.stop(ctx)
+		return false
+	}
+	s.backend.Send(&pgproto3.AuthenticationOk{})
+	s.backend.Send(&pgproto3.ParameterStatus{Name: "server_version", Value: "15.0"})
+	s.backend.Send(&pgproto3.ParameterStatus{Name: "client_encoding", Value: "UTF8"})
+	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: s.id, SecretKey: []byte{0, 0, 0, 1}})
+	s.ready()
+	return s.backend.Flush() == nil
+}
+
+func (s *session) stop(ctx context.Context) {
+	if s.engine != nil {
+		_, _ = s.engine.ExecContext(context.WithoutCancel(ctx), "ROLLBACK")
+		_ = s.engine.Close()
+	}
+	s.member.unregister(s)
+}
+
+// register admits the session unless the connection limit is reached. Group connections are not counted.
+func (m *Member) register(s *session) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !strings.HasPrefix(s.peer, groupPrefix) {
+		if m.open >= m.options.Connections {
+			return false
+		}
+		m.open++
+	}
+	m.next++
+	s.id = m.next
+	m.sessions[s.id] = s
+	return true
+}
+
+func (m *Member) unregister(s *session) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.sessions[s.id]; !ok {
+		return
+	}
+	delete(m.sessions, s.id)
+	if !strings.HasPrefix(s.peer, groupPrefix) {
+		m.open--
+	}
+}
+
+func (m *Member) cancelSession(id uint32) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s := m.sessions[id]; s != nil && s.cancel != nil {
+		s.cancel()
+	}
+}
+
+func (s *session) ready() { s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.status}) }
+
+func (s *session) sendError(code, message string) {
+	s.backend.Send(&pgproto3.ErrorResponse{Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: code, Message: message})
+}
+
+// handle serves one message. It returns false when the connection must close.
+func (s *session) handle(ctx context.Context, message pgproto3.FrontendMessage) bool {
+	var err error
+	switch m := message.(type) {
+	case *pgproto3.Query:
+		s.simpleQuery(ctx, m.String)
+		return s.flush(ctx)
+	case *pgproto3.Sync:
+		if err = s.endImplicit(ctx); err != nil {
+			s.fail(err)
+		}
+		s.ready()
+		return s.flush(ctx)
+	case *pgproto3.Flush:
+		return s.flush(ctx)
+	case *pgproto3.Parse:
+		s.prepared[m.Name] = m.Query
+		s.backend.Send(&pgproto3.ParseComplete{})
+	case *pgproto3.Bind:
+		err = s.bind(m)
+	case *pgproto3.Describe:
+		err = s.describe(ctx, m)
+	case *pgproto3.Execute:
+		err = s.executePortal(ctx, m)
+	case *pgproto3.Close:
+		if m.ObjectType == 'S' {
+			delete(s.prepared, m.Name)
+		}
+		s.backend.Send(&pgproto3.CloseComplete{})
+	}
+	if err != nil {
+		s.fail(err)
+		return s.skipToSync(ctx)
+	}
+	return true
+}
+
+// skipToSync discards messages after an error until the next Sync.
+func (s *session) skipToSync(ctx context.Context) bool {
+	for {
+		message, err := s.backend.Receive()
+		if err != nil {
+			return false
+		}
+		if _, ok := message.(*pgproto3.Sync); ok {
+			_ = s.endImplicit(ctx)
+			s.ready()
+			return s.flush(ctx)
+		}
+	}
+}
+
+func (s *session) flush(ctx context.Context) bool {
+	if !s.member.switches.pass(s.peer, ctx.Done()) || s.lost {
+		return false
+	}
+	return s.backend.Flush() == nil
+}
+
+// fail sends err and marks an open transaction as failed.
+func (s *session) fail(err error) {
+	code := "XX000"
+	text := err.Error()
+	switch {
+	case errors.Is(err, errReadOnly):
+		code = "25006"
+	case errors.Is(err, errAborted):
+		code = "25P02"
+	case errors.Is(err, errUnsupported):
+		code = "0A000"
+	case errors.Is(err, context.Canceled):
+		code, text = "57014", "canceling statement due to user request"
+	case strings.Contains(text, "UNIQUE"):
+		code = "23505"
+	case strings.Contains(text, "constraint"):
+		code = "23000"
+	case strings.Contains(text, "locked"):
+		code = "55P03"
+	case strings.Contains(text, "no such table"):
+		code = "42P01"
+	case strings.Contains(text, "syntax"):
+		code = "42601"
+	}
+	s.sendError(code, text)
+	if s.status == statusActive {
+		s.status = statusFailed
+	}
+}
+
+func (s *session) simpleQuery(ctx context.Context, query string) {
+	statements := splitStatements(query)
+	if len(statements) == 0 {
+		s.backend.Send(&pgproto3.EmptyQueryResponse{})
+	}
+	for _, text := range statements {
+		p := &portal{query: text}
+		err := s.execute(ctx, p, 0, true, len(statements) > 1)
+		if err != nil {
+			s.fail(err)
+			break
+		}
+	}
+	if err := s.endImplicit(ctx); err != nil {
+		s.fail(err)
+	}
+	s.ready()
+}
+
+func (s *session) bind(m *pgproto3.Bind) error {
+	query, ok := s.prepared[m.PreparedStatement]
+	if !ok {
+		return fmt.Errorf("%w: prepared statement %q does not exist", errUnsupported, m.PreparedStatement)
+	}
+	args := make([]any, len(m.Parameters))
+	for i, parameter := range m.Parameters {
+		args[i] = argument(parameter)
+	}
+	s.portals[m.DestinationPortal] = &portal{query: query, args: args, formats: m.ResultFormatCodes}
+	s.backend.Send(&pgproto3.BindComplete{})
+	return nil
+}
+
+func (s *session) describe(ctx context.Context, m *pgproto3.Describe) error {
+	query := s.prepared[m.Name]
+	var formats []int16
+	if m.ObjectType == 'S' {
+		s.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: make([]uint32, parameterCount(query))})
+	} else if p := s.portals[m.Name]; p != nil {
+		query, formats = p.query, p.formats
+	}
+	if _, ok, _ := s.member.control("-- " + query); ok || !returnsRows(query) {
+		s.backend.Send(&pgproto3.NoData{})
+		return nil
+	}
+	columns, err := describe(ctx, s.engine, query)
+	if err != nil {
+		return err
+	}
+	s.backend.Send(rowDescription(columns, formats))
+	return nil
+}
+
+func (s *session) executePortal(ctx context.Context, m *pgproto3.Execute) error {
+	p := s.portals[m.Portal]
+	if p == nil {
+		return fmt.Errorf("%w: portal %q does not exist", errUnsupported, m.Portal)
+	}
+	return s.execute(ctx, p, int(m.MaxRows), false, true)
+}
--- /dev/null
+++ b/term/watch.go
@@ -0,0 +1,266 @@
+// Package term decides about terms: when a primary counts as lost, who promotes and which member, and whether a commit
+// was made under a term that is still in force.
+//
+// It asks and orders nothing itself: it takes the members' answers and the time, and returns typed actions.
+package term
+
+import (
+	"time"
+
+	"citronusher.example/citronusher"
+)
+
+// Limits are the spans from which the watch makes its deadlines.
+type Limits struct {
+	// Silence is how long the primary may leave probes unanswered.
+	Silence time.Duration
+	// Refused is the same when the primary's machine refuses connections.
+	Refused time.Duration
+	// Patience replaces Silence while replicas still hear from the primary.
+	Patience time.Duration
+	// Stagger separates the homes: the home of rank r waits r times longer.
+	Stagger time.Duration
+	// Refollow separates two orders to follow to one member.
+	Refollow time.Duration
+	// Leaving is how long homes may finish their work on a leaving primary before another member is promoted.
+	Leaving time.Duration
+}
+
+// DefaultLimits keep a promotion under six seconds also when the two first homes are dead.
+func DefaultLimits() Limits {
+	return Limits{
+		Silence: 1 * time.Second, Refused: 400 * time.Millisecond, Patience: 2500 * time.Millisecond,
+		Stagger: 700 * time.Millisecond, Refollow: 500 * time.Millisecond,
+		Leaving: 2 * time.Second,
+	}
+}
+
+const minFailures = 2 // failed probes before the primary can count as lost
+
+// Action is what the home should do now. Its zero value means nothing.
+type Action struct {
+	// Promote is the term to claim; 0 for none.
+	Promote uint64
+	// Planned is set when Promote replaces a primary that still works: its log is complete before the promotion.
+	Planned bool
+	// Follow lists the members that must be ordered to follow Primary under Term.
+	Follow []string
+	// Primary is the current primary, for Follow and a planned promotion.
+	Primary string
+	// Term is the current term, for Follow and a planned promotion.
+	Term uint64
+}
+
+type observation struct {
+	state     citronusher.MemberState
+	known     bool
+	okAt      time.Time
+	failures  int
+	refused   bool
+	orderedAt time.Time
+	leavingAt time.Time // when the home learnt that the member leaves; zero when it does not
+}
+
+func (o *observation) reachable() bool { return o.known && o.failures == 0 }
+
+// Watch follows the members of one group for one home. It is used by one goroutine at a time.
+type Watch struct {
+	limits    Limits
+	members   map[string]*observation
+	order     []string
+	startedAt time.Time
+	deferTo   time.Time
+	rank      int
+}
+
+// NewWatch returns a watch that has seen nothing. Silence counts from startedAt.
+func NewWatch(members []string, limits Limits, startedAt time.Time) *Watch {
+	w := &Watch{limits: limits, members: map[string]*observation{}, order: members, startedAt: startedAt}
+	for _, name := range members {
+		w.members[name] = &observation{okAt: startedAt}
+	}
+	return w
+}
+
+// SetRank sets the home's place in the order of the database's homes, which counts from 0.
+func (w *Watch) SetRank(rank int) { w.rank = rank }
+
+// Observe records a member's answer. An answer to an older question than the last one is ignored.
+func (w *Watch) Observe(name string, state citronusher.MemberState, now time.Time) {
+	o := w.members[name]
+	if o == nil || (o.known && state.AskedAt().Before(o.state.AskedAt())) {
+		return
+	}
+	o.state, o.known, o.okAt, o.failures, o.refused = state, true, now, 0, false
+}
+
+// Fail records an unanswered probe. refused is true when the member's machine refused the connection.
+func (w *Watch) Fail(name string, refused bool) {
+	if o := w.members[name]; o != nil {
+		o.failures++
+		o.refused = refused
+	}
+}
+
+// Defer holds back the next promotion until at, after a failed one.
+func (w *Watch) Defer(at time.Time) { w.deferTo = at }
+
+// SetLeaving records whether a member takes no new work.
+func (w *Watch) SetLeaving(name string, leaving bool, now time.Time) {
+	o := w.members[name]
+	switch {
+	case o == nil:
+	case !leaving:
+		o.leavingAt = time.Time{}
+	case o.leavingAt.IsZero():
+		o.leavingAt = now
+	}
+}
+
+// Leaving reports whether a member takes no new work.
+func (w *Watch) Leaving(name string) bool {
+	o := w.members[name]
+	return o != nil && !o.leavingAt.IsZero()
+}
+
+// State returns a member's last answer and whether the member answered its last probe.
+func (w *Watch) State(name string) (state citronusher.MemberState, reachable bool) {
+	o := w.members[name]
+	if o == nil {
+		return citronusher.MemberState{}, false
+	}
+	return o.state, o.reachable()
+}
+
+// Primary returns the primary of the newest term seen. ok is false while none is known, and when a majority has
+// accepted a newer term than the primary's.
+func (w *Watch) Primary() (name string, term uint64, ok bool) {
+	for _, candidate := range w.order {
+		o := w.members[candidate]
+		if o.known && o.state.Role() == citronusher.RolePrimary && o.state.Term() > term {
+			name, term = candidate, o.state.Term()
+		}
+	}
+	if name == "" || w.countAbove(term) >= Majority(len(w.order)) {
+		return "", 0, false
+	}
+	return name, term, true
+}
+
+func (w *Watch) countAbove(term uint64) int {
+	count := 0
+	for _, o := range w.members {
+		if o.known && o.state.Term() > term {
+			count++
+		}
+	}
+	return count
+}
+
+// Majority returns how many of count members are more than half.
+func Majority(count int) int { return count/2 + 1 }
+
+// Decide returns what to do at now.
+func (w *Watch) Decide(now time.Time) Action {
+	primary, term, ok := w.Primary()
+	if ok && w.mustMove(primary, now) {
+		return Action{Promote: w.newest() + 1, Planned: true, Primary: primary, Term: term}
+	}
+	if ok && !w.lost(primary, now) {
+		return Action{Follow: w.strays(primary, term, now), Primary: primary, Term: term}
+	}
+	if !ok && now.Before(w.startedAt.Add(w.limits.Silence+w.stagger())) {
+		return Action{}
+	}
+	if now.Before(w.deferTo) || w.countReachable() < Majority(len(w.order)) {
+		return Action{}
+	}
+	return Action{Promote: w.newest() + 1}
+}
+
+func (w *Watch) stagger() time.Duration { return time.Duration(w.rank) * w.limits.Stagger }
+
+// mustMove reports whether a working primary leaves and another member can take its place.
+func (w *Watch) mustMove(primary string, now time.Time) bool {
+	o := w.members[primary]
+	if o.leavingAt.IsZero() || !o.reachable() || now.Before(w.deferTo) ||
+		now.Before(o.leavingAt.Add(w.limits.Leaving+w.stagger())) {
+		return false
+	}
+	for name, other := range w.members {
+		if name != primary && other.reachable() && other.leavingAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// lost reports whether the primary's silence has lasted long enough for this home to act.
+func (w *Watch) lost(primary string, now time.Time) bool {
+	o := w.members[primary]
+	if o.failures < minFailures {
+		return false
+	}
+	span := w.limits.Silence
+	switch {
+	case w.heardByReplica(primary, now):
+		span = w.limits.Patience
+	case o.refused:
+		span = w.limits.Refused
+	}
+	return !now.Before(o.okAt.Add(span + w.stagger()))
+}
+
+// heardByReplica reports whether a reachable replica heard from the primary within the silence limit.
+func (w *Watch) heardByReplica(primary string, now time.Time) bool {
+	for name, o := range w.members {
+		if name != primary && o.reachable() && o.state.HeardAt().After(now.Add(-w.limits.Silence)) {
+			return true
+		}
+	}
+	return false
+}
+
+// strays returns the members that do not follow the primary, and notes that they are ordered to.
+func (w *Watch) strays(primary string, term uint64, now time.Time) []string {
+	var strays []string
+	for _, name := range w.order {
+		o := w.members[name]
+		if name == primary || !o.reachable() || now.Before(o.orderedAt.Add(w.limits.Refollow)) {
+			continue
+		}
+		silent := o.state.HeardAt().Before(now.Add(-w.limits.Silence))
+		if o.state.Term() < term || (o.state.Term() == term && silent) {
+			o.orderedAt = now
+			strays = append(strays, name)
+		}
+	}
+	return strays
+}
+
+func (w *Watch) countReachable() int {
+	count := 0
+	for _, o := range w.members {
+		if o.reachable() {
+			count++
+		}
+	}
+	return count
+}
+
+func (w *Watch) newest() uint64 {
+	newest := uint64(0)
+	for _, o := range w.members {
+		newest = max(newest, o.state.Term())
+	}
+	return newest
+}
+
+// Branches returns the term starts known to the primary of the newest term.
+func (w *Watch) Branches() []citronusher.Branch {
+	name, _, ok := w.Primary()
+	if !ok {
+		return nil
+	}
+	return w.members[name].state.Branches()
+}
--- /dev/null
+++ b/work.go
@@ -0,0 +1,92 @@
+package citronusher
+
+import (
+	"context"
+	"time"
+)
+
+// Step kinds are the frontend message types of the PostgreSQL protocol that an exchange can hold.
+const (
+	StepQuery    byte = 'Q'
+	StepParse    byte = 'P'
+	StepBind     byte = 'B'
+	StepDescribe byte = 'D'
+	StepExecute  byte = 'E'
+	StepClose    byte = 'C'
+	StepSync     byte = 'S'
+)
+
+// Step is one frontend message of an exchange.
+type Step struct {
+	// Kind is the message's type byte.
+	Kind byte
+	// Name is the prepared statement that the message defines or uses; empty when it names none.
+	Name string
+	// Raw is the whole encoded message, type byte and length included.
+	Raw []byte
+	// Recorded, when set, is the encoded answer to give without sending the step: the request was decided before.
+	Recorded []byte
+}
+
+// Exchange is what a caller sends before it waits for answers: one simple query, or extended messages up to a Sync or
+// a Flush.
+type Exchange struct {
+	// Steps are the messages, in order.
+	Steps []Step
+	// Needs are the definitions of the prepared statements that the steps use and do not define.
+	Needs []Step
+	// Partial is true when the exchange ended with Flush, so that more belongs to the same implicit transaction.
+	Partial bool
+}
+
+// Request is one exchange with everything that decides how it is served.
+type Request struct {
+	// Database names the configured database.
+	Database string
+	// Profile names the configured profile.
+	Profile string
+	// Caller identifies the caller for fair queueing.
+	Caller string
+	// ID is the caller's identity for a non-repeatable request; empty when it has none.
+	ID string
+	// Seen is the position that reads must have reached.
+	Seen Position
+	// Known is false when the session's position could not be learnt; reads then go to the primary.
+	Known bool
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// Exchange is what to run.
+	Exchange Exchange
+}
+
+// Result is how an exchange ended when the target answered it.
+type Result struct {
+	// Status is the transaction status byte of ReadyForQuery: I, T or E.
+	Status byte
+	// Position is the new position of the session; zero when it did not change.
+	Position Position
+	// Replica is true when a replica served the exchange.
+	Replica bool
+	// Pinned is true while the work holds a target connection.
+	Pinned bool
+	// Failed is the SQLSTATE of the target's own error answer; empty when it had none.
+	Failed string
+}
+
+// Sink receives encoded backend messages in order. It must not keep the slice.
+type Sink func(raw []byte) error
+
+// Work is a caller's sequence of exchanges with one database. Between the first exchange of a transaction and its end
+// it is pinned to one target connection. A Work is used by one goroutine at a time.
+type Work interface {
+	// Do runs one exchange and streams its answer, without ReadyForQuery, into sink. Its error is a *Failure.
+	Do(ctx context.Context, request Request, sink Sink) (Result, error)
+	// Close gives back what the work holds; an open transaction is rolled back.
+	Close() error
+}
+
+// Home opens works. The daemon's own databases and connections to peers both implement it.
+type Home interface {
+	// Open returns a new work on database. Its error is a *Failure that did not run.
+	Open(ctx context.Context, database string) (Work, error)
+}
