prove: run clusters of processes under failure; fix the lookup that waited for its own place

Ruled out: the marker itself; it was in the table. Change: the place is given back before the lookup. Also: replicas are judged by the time of their own answer, and are asked again before a copy is refused.

--- a/events/events.go
+++ b/events/events.go
@@ -29,6 +29,7 @@
 	WritesOpened    Event = 409
 	TermPublished   Event = 410
 	Settled         Event = 411
+	SettleFailed    Event = 412
 	SignInRefused   Event = 501
 	CallerFailed    Event = 502
 	RequestUnknown  Event = 503
@@ -64,6 +65,7 @@
 	WritesOpened:    {slog.LevelInfo, "term is confirmed again; writes are accepted"},
 	TermPublished:   {slog.LevelInfo, "term was published in the table"},
 	Settled:         {slog.LevelInfo, "outcome of a non-repeatable request was looked up"},
+	SettleFailed:    {slog.LevelWarn, "outcome of a non-repeatable request could not be looked up; trying again"},
 	SignInRefused:   {slog.LevelWarn, "caller's sign-in was refused"},
 	CallerFailed:    {slog.LevelDebug, "caller's connection failed"},
 	RequestUnknown:  {slog.LevelWarn, "request ended with an unknown outcome"},
--- a/home/marker.go
+++ b/home/marker.go
@@ -23,6 +23,7 @@
 		"made BIGINT NOT NULL)"
 	tagVoid        = "void"
 	markerLifetime = 7 * 24 * time.Hour
+	recheckPause   = 100 * time.Millisecond
 	pruneEvery     = 256 // marked requests between two prunings
 
 	codeUnique  = "23505"
@@ -47,13 +48,12 @@
 	if err := w.take(ctx, t, ticket); err != nil {
 		return citronusher.Result{}, err
 	}
-	defer t.finish(ticket)
 	result, err := w.tryMarked(ctx, request, hold)
+	w.release()
+	t.finish(ticket) // before the lookup, which takes a place of its own
 	if err != nil && citronusher.AsFailure(err).Outcome() == citronusher.Unknown {
-		w.release()
 		return w.settle(ctx, request, hold, err)
 	}
-	w.release()
 	return result, err
 }
 
@@ -269,6 +269,8 @@
 			events.Log(w.database.set.config.Logger, events.Settled, "database", w.database.name, "error", err)
 			return result, err
 		}
+		d := w.database
+		events.Log(d.set.config.Logger, events.SettleFailed, "database", d.name, "error", err)
 		select {
 		case <-time.After(jitter(reopenPause)):
 		case <-ctx.Done():
@@ -311,7 +313,20 @@
 }
 
 // checkCopies refuses a request whose copies could not be confirmed in time: too few replicas are close to the primary.
-func (d *database) checkCopies(deadline time.Time) error {
+// Before that it asks the replicas once more, because their last answers may be old.
+func (d *database) checkCopies(ctx context.Context, deadline time.Time) error {
+	if d.copiesNear(deadline) == nil {
+		return nil
+	}
+	d.kick()
+	select {
+	case <-time.After(recheckPause):
+	case <-ctx.Done():
+	}
+	return d.copiesNear(deadline)
+}
+
+func (d *database) copiesNear(deadline time.Time) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	patience := deadline.Sub(d.now()) / 2
--- a/home/probe.go
+++ b/home/probe.go
@@ -46,6 +46,9 @@
 	if _, reachable := d.watch.State(name); !reachable {
 		return retryInterval
 	}
+	if _, reachable := d.watch.State(d.primary); d.primary != "" && !reachable {
+		return retryInterval // whether replicas hear from the primary decides how long to wait for it
+	}
 	interval := replicaInterval
 	if name == d.primary || d.primary == "" {
 		interval = primaryInterval
--- a/home/work.go
+++ b/home/work.go
@@ -137,7 +137,7 @@
 		return citronusher.Result{}, err
 	}
 	if w.profile.Copy() {
-		if err := d.checkCopies(request.Deadline); err != nil {
+		if err := d.checkCopies(ctx, request.Deadline); err != nil {
 			return citronusher.Result{}, err
 		}
 	}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/alecthomas/kong"
 
 	"citronusher.example/citronusher"
 	"citronusher.example/citronusher/peer"
@@ -54,6 +55,23 @@
 	Settings settingCommands `cmd:"" help:"Check settings files."`
 }
 
+// Run parses arguments, runs the command and writes its output to out.
+func Run(arguments []string, out io.Writer) error {
+	var commands Commands
+	parser, err := kong.New(&commands, kong.Name("citronusher"), kong.Exit(func(int) {}),
+		kong.Writers(out, out), kong.Description("Edits profiles and targets, and shows what the daemons do. "+
+			"Exit codes: 0 done, 1 failed, 2 refused input, 3 version conflict."))
+	if err != nil {
+		return fmt.Errorf("command line: %w", err)
+	}
+	parsed, err := parser.Parse(arguments)
+	if err != nil {
+		return fmt.Errorf("%w: %w", citronusher.ErrInvalid, err)
+	}
+	commands.out = out
+	return parsed.Run(&commands.Global)
+}
+
 // Exit ends the program with the code that fits err.
 func Exit(err error) {
 	if err != nil {
@@ -76,16 +94,6 @@
 	}
 }
 
-func (g *Global) writer() io.Writer {
-	if g.out == nil {
-		return os.Stdout
-	}
-	return g.out
-}
-
-// SetWriter sends the output elsewhere than to the standard output.
-func (g *Global) SetWriter(w io.Writer) { g.out = w }
-
 func (g *Global) client() peerpb.OperatorServiceClient {
 	scheme := "http"
 	if g.TLS {
@@ -103,11 +111,11 @@
 // print writes value as JSON, or text as it is.
 func (g *Global) print(value any, text string) error {
 	if g.Output == "json" {
-		encoder := json.NewEncoder(g.writer())
+		encoder := json.NewEncoder(g.out)
 		encoder.SetIndent("", "  ")
 		return encoder.Encode(value)
 	}
-	_, err := fmt.Fprintln(g.writer(), text)
+	_, err := fmt.Fprintln(g.out, text)
 	return err
 }
 
--- /dev/null
+++ b/prove/once_test.go
@@ -0,0 +1,154 @@
+package prove
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"golang.org/x/sync/errgroup"
+)
+
+func sqlState(err error) string {
+	var answer *pgconn.PgError
+	if errors.As(err, &answer) {
+		return answer.Code
+	}
+	return ""
+}
+
+// order places one stock order as a non-repeatable request with an identity.
+func order(c *cluster, entry, number int) error {
+	conn, err := c.dial(entry, fmt.Sprintf("-c citronusher.profile=never -c citronusher.request=order-%d", number))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	defer func() { _ = conn.Close(ctx) }()
+	_, err = conn.Exec(ctx, fmt.Sprintf("INSERT INTO stock (number, made) VALUES (%d, 1)", number))
+	return err
+}
+
+// orderInTransaction places the order in an explicit transaction.
+func orderInTransaction(c *cluster, entry, number int) error {
+	conn, err := c.dial(entry, fmt.Sprintf("-c citronusher.profile=never -c citronusher.request=order-%d", number))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	defer func() { _ = conn.Close(ctx) }()
+	return pgx.BeginFunc(ctx, conn, func(tx pgx.Tx) error {
+		_, err := tx.Exec(ctx, fmt.Sprintf("INSERT INTO stock (number, made) VALUES (%d, 1)", number))
+		return err
+	})
+}
+
+// checkOrders compares what callers were told with the table: an order that ran is there once, one that never ran is
+// not there, an unknown one is there at most once.
+func checkOrders(t *testing.T, c *cluster, told map[int]outcome) {
+	t.Helper()
+	conn := c.mustDial(0, "")
+	rows, err := conn.Query(context.Background(), "SELECT number, count(*) FROM stock GROUP BY number")
+	if err != nil {
+		t.Fatal(err)
+	}
+	counts := map[int]int64{}
+	var number int
+	var count int64
+	if _, err := pgx.ForEachRow(rows, []any{&number, &count}, func() error { counts[number] = count; return nil }); err != nil {
+		t.Fatal(err)
+	}
+	for number, count := range counts {
+		if count > 1 {
+			t.Errorf("order %d ran %d times", number, count)
+		}
+	}
+	for number, o := range told {
+		switch {
+		case o == ran && counts[number] != 1:
+			t.Errorf("order %d was told ran, and is there %d times", number, counts[number])
+		case o == notRun && counts[number] != 0:
+			t.Errorf("order %d was told not run, and is there", number)
+		}
+	}
+}
+
+// TestAtMostOnce repeats orders from other entries while answers are lost, the primary dies and a daemon dies.
+func TestAtMostOnce(t *testing.T) {
+	for name, place := range map[string]func(*cluster, int, int) error{"statement": order, "transaction": orderInTransaction} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, shape{daemons: 3})
+			c.mustExec(0, "CREATE TABLE stock (number INTEGER, made INTEGER)")
+			const orders, tries = 60, 3
+			told := make([][tries]outcome, orders)
+			var group errgroup.Group
+			group.SetLimit(6)
+			for n := range orders {
+				switch n {
+				case 10, 20:
+					c.fault(c.primary(), "mute=3")
+				case 30:
+					c.members[c.primary()].kill(t)
+				case 45:
+					c.daemons[2].kill(t)
+				}
+				for try := range tries {
+					group.Go(func() error {
+						told[n][try] = outcomeOf(place(c, (n+try)%3, n))
+						return nil
+					})
+				}
+			}
+			_ = group.Wait()
+			c.await("the group after the failures", func() bool { return c.exec(0, "", "SELECT 1") == nil })
+			result := map[int]outcome{}
+			tally := map[outcome]int{}
+			for n, tries := range told {
+				result[n] = best(tries[:])
+				for _, o := range tries {
+					tally[o]++
+				}
+			}
+			t.Logf("told: %d ran, %d not run, %d unknown", tally[ran], tally[notRun], tally[unknown])
+			checkOrders(t, c, result)
+		})
+	}
+}
+
+// best returns ran when one try ran, not run when no try can have run, and unknown otherwise.
+func best(tries []outcome) outcome {
+	result := notRun
+	for _, o := range tries {
+		switch {
+		case o == ran:
+			return ran
+		case o == unknown:
+			result = unknown
+		}
+	}
+	return result
+}
+
+// TestLostAnswerIsSettled loses the answer to the commit of a marked request and expects the truth all the same.
+func TestLostAnswerIsSettled(t *testing.T) {
+	c := newCluster(t, shape{daemons: 2})
+	c.mustExec(0, "CREATE TABLE stock (number INTEGER, made INTEGER)")
+	if err := order(c, 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	c.fault(c.primary(), "mute=1")
+	if err := order(c, 0, 1); err != nil {
+		t.Errorf("the order whose answer was lost: %v", err)
+	}
+	// The same loss without an identity stays unknown.
+	c.fault(c.primary(), "mute=1")
+	err := c.exec(0, "", "INSERT INTO stock VALUES (2, 1)")
+	if outcomeOf(err) != unknown || sqlState(err) != "08007" {
+		t.Errorf("the unmarked insert whose answer was lost: %v", err)
+	}
+	checkOrders(t, c, map[int]outcome{0: ran, 1: ran, 2: unknown})
+}
--- /dev/null
+++ b/prove/process_test.go
@@ -0,0 +1,184 @@
+package prove
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"citronusher.example/citronusher/daemon"
+	"citronusher.example/citronusher/settings"
+	"citronusher.example/citronusher/standin/member"
+	"citronusher.example/citronusher/standin/platform"
+)
+
+// The test binary runs itself again as the processes of a cluster: the role and its JSON come by the environment.
+const (
+	roleVariable = "CITRONUSHER_ROLE"
+	specVariable = "CITRONUSHER_SPEC"
+
+	// mutantUnconfirmed is a daemon that acknowledges commits without confirming the term.
+	mutantUnconfirmed = "unconfirmed"
+)
+
+// spec is what a process needs to know.
+type spec struct {
+	Member    member.Options           `json:"member"`
+	Address   string                   `json:"address"`
+	Instances []platform.InstanceEntry `json:"instances"`
+	Settings  string                   `json:"settings"`
+	Mutant    string                   `json:"mutant"`
+}
+
+func TestMain(m *testing.M) {
+	role := os.Getenv(roleVariable)
+	if role == "" {
+		os.Exit(m.Run())
+	}
+	var s spec
+	if err := json.Unmarshal([]byte(os.Getenv(specVariable)), &s); err != nil {
+		panic(err)
+	}
+	if err := runRole(role, s); err != nil {
+		fmt.Fprintln(os.Stderr, role, err)
+		os.Exit(1)
+	}
+}
+
+func runRole(role string, s spec) error {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer cancel()
+	logger := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	switch role {
+	case "member":
+		s.Member.Logger = logger
+		m, err := member.New(s.Member)
+		if err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return m.Close()
+	case "platform":
+		server := &http.Server{Addr: s.Address, Handler: platform.New(s.Instances), ReadHeaderTimeout: time.Second}
+		context.AfterFunc(ctx, func() { _ = server.Close() })
+		_ = server.ListenAndServe()
+		return nil
+	}
+	checked, err := settings.Parse([]byte(s.Settings))
+	if err != nil {
+		return err
+	}
+	var options []daemon.Option
+	if s.Mutant == mutantUnconfirmed {
+		options = append(options, daemon.WithoutConfirmation())
+	}
+	d, err := daemon.New(checked, logger, options...)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case <-d.Asked():
+	}
+	drain, stop := context.WithTimeout(context.Background(), checked.Drain())
+	defer stop()
+	d.Drain(drain)
+	return d.Close()
+}
+
+// process is one running part of a cluster.
+type process struct {
+	role string
+	spec spec
+	log  string
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// startProcess runs the test binary in a role. Its output goes to a file that is shown when the test fails.
+func startProcess(t *testing.T, name, role string, s spec) *process {
+	t.Helper()
+	p := &process{role: role, spec: s, log: filepath.Join(t.TempDir(), name+".log")}
+	p.start(t)
+	t.Cleanup(func() {
+		p.kill(t)
+		if t.Failed() {
+			body, _ := os.ReadFile(p.log)
+			t.Logf("--- %s ---\n%s", name, tail(string(body)))
+		}
+	})
+	return p
+}
+
+func tail(text string) string {
+	const lines = 40
+	all := strings.Split(text, "\n")
+	return strings.Join(all[max(0, len(all)-lines):], "\n")
+}
+
+func (p *process) start(t *testing.T) {
+	t.Helper()
+	body, err := json.Marshal(p.spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	p.cmd = exec.Command(os.Args[0]) //nolint:noctx // it lives as long as its test
+	p.cmd.Env = append(os.Environ(), roleVariable+"="+p.role, specVariable+"="+string(body))
+	p.cmd.Stdout, p.cmd.Stderr = file, file
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	cmd, done := p.cmd, make(chan struct{})
+	p.done = done
+	goFor(t, func() {
+		_ = cmd.Wait()
+		close(done)
+	})
+}
+
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil && s != syscall.SIGKILL {
+		t.Logf("signal %v: %v", s, err)
+	}
+}
+
+// kill ends the process at once and waits for it.
+func (p *process) kill(t *testing.T) {
+	t.Helper()
+	p.signal(t, syscall.SIGKILL)
+	<-p.done
+}
+
+// stop ends the process gracefully and waits for it.
+func (p *process) stop(t *testing.T) {
+	t.Helper()
+	p.signal(t, syscall.SIGTERM)
+	<-p.done
+}
+
+// freePort returns an address on loopback that nothing listens on.
+func freePort(t *testing.T) string {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
--- a/standin/member/execute.go
+++ b/standin/member/execute.go
@@ -26,6 +26,7 @@
 		}
 		return s.sendAnswer(result)
 	}
+	s.member.switches.count()
 	word := firstWord(p.query)
 	if s.status == statusFailed && word != "ROLLBACK" && word != "COMMIT" && word != "END" && word != "ABORT" {
 		return errAborted
--- a/standin/member/switch.go
+++ b/standin/member/switch.go
@@ -11,12 +11,13 @@
 
 // switches are the faults that a test turns on over HTTP.
 type switches struct {
-	mu   sync.Mutex
-	open chan struct{} // closed while nothing is cut, replaced at each change
-	cut  map[string]bool
-	lag  time.Duration
-	slow time.Duration
-	mute int // answers to commits still to be lost
+	mu         sync.Mutex
+	open       chan struct{} // closed while nothing is cut, replaced at each change
+	cut        map[string]bool
+	lag        time.Duration
+	slow       time.Duration
+	mute       int // answers to commits still to be lost
+	statements int // statements of callers that ran
 }
 
 func newSwitches() *switches {
@@ -47,6 +48,13 @@
 	return s.lag, s.slow
 }
 
+// count counts a caller's statement.
+func (s *switches) count() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.statements++
+}
+
 // loseAnswer reports whether the answer to this commit is to be lost.
 func (s *switches) loseAnswer() bool {
 	s.mu.Lock()
@@ -59,7 +67,7 @@
 }
 
 // ServeHTTP sets the switches: cut (comma-separated peer names, group or all), lag and slow (milliseconds), mute
-// (number of commits whose answer is lost).
+// (number of commits whose answer is lost). It reports the number of callers' statements so far.
 func (s *switches) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -85,5 +93,5 @@
 	}
 	close(s.open)
 	s.open = make(chan struct{})
-	fmt.Fprintln(w, "ok")
+	fmt.Fprintf(w, "statements=%d\n", s.statements)
 }
--- a/term/watch.go
+++ b/term/watch.go
@@ -229,7 +229,7 @@
 		if name == primary || !o.reachable() || now.Before(o.orderedAt.Add(w.limits.Refollow)) {
 			continue
 		}
-		silent := o.state.HeardAt().Before(now.Add(-w.limits.Silence))
+		silent := o.state.HeardAt().Before(o.state.AskedAt().Add(-w.limits.Silence))
 		if o.state.Term() < term || (o.state.Term() == term && silent) {
 			o.orderedAt = now
 			strays = append(strays, name)
