--- a/daemon/instances.go
+++ b/daemon/instances.go
@@ -38,7 +38,11 @@
 func (d *Daemon) pollList() {
 	d.meter.Polls().Inc(1)
 	instances, changed, err := d.list.List(d.ctx)
-	if err != nil || !changed {
+	if err != nil && len(d.Listed()) == 0 {
+		instances = d.askSeeds()
+		changed = len(instances) > 0
+	}
+	if !changed {
 		return
 	}
 	d.mu.Lock()
@@ -47,6 +51,27 @@
 	events.Log(d.logger, events.InstanceChanged, "listed", len(instances))
 }
 
+// askSeeds asks the seed peers, in turn, for the instances. It serves a daemon that starts while the platform is down.
+func (d *Daemon) askSeeds() []citronusher.Instance {
+	for _, seed := range d.settings.Seeds() {
+		if seed == d.settings.Peer() {
+			continue
+		}
+		instances, err := d.client.Peer(seed).Instances(d.ctx)
+		if err == nil && len(instances) > 0 {
+			return instances
+		}
+	}
+	return nil
+}
+
+// Listed returns the instances as they were last read.
+func (d *Daemon) Listed() []citronusher.Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.view.Listed()
+}
+
 // look works out the homes of every database from the current view.
 func (d *Daemon) look() {
 	document := d.spreader.Document()
--- a/home/work.go
+++ b/home/work.go
@@ -149,6 +149,10 @@
 	answer, err := w.runOn(ctx, t, request, hold)
 	if err != nil {
 		w.release()
+		if reason := citronusher.AsFailure(err).Reason(); reason == citronusher.ReasonConnect ||
+			reason == citronusher.ReasonBroken {
+			d.kick() // the primary may be lost
+		}
 		return citronusher.Result{}, err
 	}
 	return w.complete(ctx, request, answer, hold)
--- a/peer/client.go
+++ b/peer/client.go
@@ -136,6 +136,17 @@
 	return unpack(response.Msg.GetBody())
 }
 
+// Instances returns the instances that the peer has listed.
+func (p *Peer) Instances(ctx context.Context) ([]citronusher.Instance, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	response, err := p.service.Fetch(ctx, connect.NewRequest(&peerpb.FetchRequest{Instances: true}))
+	if err != nil {
+		return nil, fmt.Errorf("fetch from %s: %w", p.address, err)
+	}
+	return fromInstances(response.Msg.GetInstances()), nil
+}
+
 // Cancel passes a caller's cancel request on.
 func (p *Peer) Cancel(ctx context.Context, process, secret uint32) error {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -75,3 +75,22 @@
 	return citronusher.NewFailure(citronusher.Outcome(m.GetOutcome()), citronusher.Reason(m.GetReason()), "%s",
 		m.GetMessage())
 }
+
+func toInstances(instances []citronusher.Instance) []*peerpb.Instance {
+	encoded := make([]*peerpb.Instance, len(instances))
+	for i, instance := range instances {
+		encoded[i] = &peerpb.Instance{
+			Name: instance.Name(), Peer: instance.Peer(), Domain: instance.Domain(), State: string(instance.State()),
+		}
+	}
+	return encoded
+}
+
+func fromInstances(encoded []*peerpb.Instance) []citronusher.Instance {
+	instances := make([]citronusher.Instance, len(encoded))
+	for i, m := range encoded {
+		instances[i] = citronusher.NewInstance(m.GetName(), m.GetPeer(), m.GetDomain(),
+			citronusher.InstanceState(m.GetState()))
+	}
+	return instances
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -29,6 +29,8 @@
 	Announced(notice *peerpb.AnnounceRequest) uint64
 	// Document returns the version in force and its content in JSON.
 	Document() (version uint64, body []byte, err error)
+	// Listed returns the instances as the daemon last read them.
+	Listed() []citronusher.Instance
 	// Cancel cancels a caller's running request.
 	Cancel(process, secret uint32)
 }
@@ -270,10 +272,13 @@
 	return connect.NewResponse(&peerpb.AnnounceResponse{Version: version}), nil
 }
 
-// Fetch returns the document in force.
+// Fetch returns the document in force, or the instances.
 func (s *Server) Fetch(
-	context.Context, *connect.Request[peerpb.FetchRequest],
+	_ context.Context, request *connect.Request[peerpb.FetchRequest],
 ) (*connect.Response[peerpb.FetchResponse], error) {
+	if request.Msg.GetInstances() {
+		return connect.NewResponse(&peerpb.FetchResponse{Instances: toInstances(s.config.Handler.Listed())}), nil
+	}
 	version, body, err := s.config.Handler.Document()
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
--- a/prove/cluster_test.go
+++ b/prove/cluster_test.go
@@ -16,7 +16,6 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
-	"golang.org/x/sync/errgroup"
 
 	"citronusher.example/citronusher/operator"
 	"citronusher.example/citronusher/profile"
@@ -53,14 +52,6 @@
 	opening time.Duration
 }
 
-// goFor runs work in a goroutine that the test waits for at its end.
-func goFor(t *testing.T, work func()) {
-	t.Helper()
-	var group errgroup.Group
-	group.Go(func() error { work(); return nil })
-	t.Cleanup(func() { _ = group.Wait() })
-}
-
 // newCluster starts a cluster and waits until every daemon serves the database.
 func newCluster(t *testing.T, s shape) *cluster {
 	t.Helper()
@@ -115,12 +106,16 @@
 }
 
 func (c *cluster) settings(i int, platformAddress string) string {
+	seeds, err := json.Marshal(c.peers)
+	if err != nil {
+		c.t.Fatal(err)
+	}
 	return fmt.Sprintf(`{
 		"name": %q, "domain": %q, "entry": {"address": %q}, "peer": {"address": %q}, "health": %q,
 		"users": {"caller": "caller"}, "target": {"user": "citronusher", "password": "x"},
-		"keys": {"peer": "proof-peer", "operator": %q}, "drain": "20s",
-		"platform": {"table": "http://%[7]s/table", "objects": "http://%[7]s/objects", "list": "http://%[7]s/instances"},
-	}`, daemonName(i), domains[i%len(domains)], c.entries[i], c.peers[i], c.health[i], operatorKey, platformAddress)
+		"keys": {"peer": "proof-peer", "operator": %q}, "drain": "20s", "seeds": %s,
+		"platform": {"table": "http://%[8]s/table", "objects": "http://%[8]s/objects", "list": "http://%[8]s/instances"},
+	}`, daemonName(i), domains[i%len(domains)], c.entries[i], c.peers[i], c.health[i], operatorKey, seeds, platformAddress)
 }
 
 // target returns the database's part of the document; the member at index leaving leaves.
--- a/prove/once_test.go
+++ b/prove/once_test.go
@@ -85,6 +85,7 @@
 			c.mustExec(0, "CREATE TABLE stock (number INTEGER, made INTEGER)")
 			const orders, tries = 60, 3
 			told := make([][tries]outcome, orders)
+			seen := newCounter()
 			var group errgroup.Group
 			group.SetLimit(6)
 			for n := range orders {
@@ -98,12 +99,17 @@
 				}
 				for try := range tries {
 					group.Go(func() error {
-						told[n][try] = outcomeOf(place(c, (n+try)%3, n))
+						err := place(c, (n+try)%3, n)
+						told[n][try] = outcomeOf(err)
+						if err != nil {
+							seen.add(err.Error())
+						}
 						return nil
 					})
 				}
 			}
 			_ = group.Wait()
+			t.Logf("errors: %v", seen.values)
 			c.await("the group after the failures", func() bool { return c.exec(0, "", "SELECT 1") == nil })
 			result := map[int]outcome{}
 			tally := map[outcome]int{}
--- a/prove/process_test.go
+++ b/prove/process_test.go
@@ -12,10 +12,13 @@
 	"os/signal"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"citronusher.example/citronusher/daemon"
 	"citronusher.example/citronusher/settings"
 	"citronusher.example/citronusher/standin/member"
@@ -102,7 +105,7 @@
 	spec spec
 	log  string
 	cmd  *exec.Cmd
-	done chan struct{}
+	wait *errgroup.Group // ends with the process
 }
 
 // startProcess runs the test binary in a role. Its output goes to a file that is shown when the test fails.
@@ -143,12 +146,8 @@
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	cmd, done := p.cmd, make(chan struct{})
-	p.done = done
-	goFor(t, func() {
-		_ = cmd.Wait()
-		close(done)
-	})
+	p.wait = &errgroup.Group{}
+	p.wait.Go(p.cmd.Wait)
 }
 
 func (p *process) signal(t *testing.T, s syscall.Signal) {
@@ -162,23 +161,33 @@
 func (p *process) kill(t *testing.T) {
 	t.Helper()
 	p.signal(t, syscall.SIGKILL)
-	<-p.done
+	_ = p.wait.Wait()
 }
 
 // stop ends the process gracefully and waits for it.
 func (p *process) stop(t *testing.T) {
 	t.Helper()
 	p.signal(t, syscall.SIGTERM)
-	<-p.done
+	_ = p.wait.Wait()
 }
 
+// nextPort is the last port given out. The ports lie below those that the system gives to outgoing connections, so that
+// none is taken between its choice and its use.
+var nextPort atomic.Int32
+
+const firstPort = 13_000
+
 // freePort returns an address on loopback that nothing listens on.
 func freePort(t *testing.T) string {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
+		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+		if err == nil {
+			_ = listener.Close()
+			return address
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -84,10 +84,11 @@
 }
 
 // Costs reports whether a retry for the reason loads the targets, so that it must be paid from the budget. Waiting for a
-// primary or asking another daemon does not.
+// primary, asking another daemon or a connection that was refused does not.
 func Costs(reason citronusher.Reason) bool {
 	switch reason {
-	case citronusher.ReasonPrimary, citronusher.ReasonClosed, citronusher.ReasonLeaving, citronusher.ReasonPeer:
+	case citronusher.ReasonPrimary, citronusher.ReasonClosed, citronusher.ReasonLeaving, citronusher.ReasonPeer,
+		citronusher.ReasonConnect, citronusher.ReasonLimit:
 		return false
 	default:
 		return true
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -33,6 +33,7 @@
 	Drain    string            `json:"drain"`
 	Idle     string            `json:"idle"`
 	Limit    string            `json:"limit"`
+	Seeds    []string          `json:"seeds"`
 	Policy   policy            `json:"policy"`
 }
 
@@ -140,6 +141,11 @@
 			return invalid(field, address, "IP:PORT")
 		}
 	}
+	for _, seed := range f.Seeds {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			return invalid("seeds", seed, "IP:PORT")
+		}
+	}
 	for field, span := range map[string]string{"drain": f.Drain, "idle": f.Idle} {
 		parsed, err := time.ParseDuration(span)
 		if err != nil || parsed < minSpan || parsed > maxSpan {
@@ -233,6 +239,10 @@
 // List returns the URL of the instance list.
 func (s Settings) List() string { return s.fields.Platform.List }
 
+// Seeds returns the IP:PORT of some peers, which a daemon that starts in a platform outage asks for the instances and the
+// configuration.
+func (s Settings) Seeds() []string { return s.fields.Seeds }
+
 // Region returns the platform's region.
 func (s Settings) Region() string { return s.fields.Platform.Region }
 
--- a/standin/member/execute.go
+++ b/standin/member/execute.go
@@ -31,14 +31,22 @@
 	if s.status == statusFailed && word != "ROLLBACK" && word != "COMMIT" && word != "END" && word != "ABORT" {
 		return errAborted
 	}
+	// Waiting for the engine's write lock takes no slot: the lock's holder needs one.
+	switch word {
+	case "BEGIN", "START":
+		return s.begin(ctx, p.query)
+	case "COMMIT", "END", "ROLLBACK", "ABORT", "SET", "RESET", "DISCARD", "DEALLOCATE":
+	default:
+		if err := s.prepareWrite(ctx, p.query, batch); err != nil {
+			return err
+		}
+	}
 	ctx, release, err := s.takeSlot(ctx, p.query)
 	if err != nil {
-		return err
+		return s.abort(ctx, err)
 	}
 	defer release()
 	switch word {
-	case "BEGIN", "START":
-		return s.begin(ctx, p.query)
 	case "COMMIT", "END":
 		return s.finish(ctx, true, "COMMIT")
 	case "ROLLBACK", "ABORT":
@@ -47,9 +55,6 @@
 		s.complete(word)
 		return nil
 	}
-	if err := s.prepareWrite(ctx, p.query, batch); err != nil {
-		return err
-	}
 	if returnsRows(p.query) {
 		return s.runRows(ctx, p, limit, describe)
 	}
@@ -72,7 +77,7 @@
 	case s.member.slots <- struct{}{}:
 	case <-ctx.Done():
 		drop()
-		return nil, nil, ctx.Err()
+		return parent, nil, ctx.Err()
 	}
 	release := func() {
 		<-s.member.slots
@@ -89,7 +94,7 @@
 		case <-time.After(work):
 		case <-ctx.Done():
 			release()
-			return nil, nil, ctx.Err()
+			return parent, nil, ctx.Err()
 		}
 	}
 	return ctx, release, nil
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -34,7 +34,8 @@
 	listLag   time.Duration
 	outage    bool
 	slow      time.Duration
-	lose      int
+	lose      int // answers to object writes still to be lost
+	loseRow   int // answers to row writes still to be lost
 	reads     int
 	writes    int
 }
@@ -85,13 +86,18 @@
 
 // loseAnswer reports whether the answer to this write is to be lost.
 func (p *Platform) loseAnswer(r *http.Request) bool {
-	write := r.Method == http.MethodPut || strings.HasSuffix(r.Header.Get("X-Amz-Target"), "PutItem")
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !write || p.lose == 0 {
+	left := &p.lose
+	if strings.HasSuffix(r.Header.Get("X-Amz-Target"), "PutItem") {
+		left = &p.loseRow
+	} else if r.Method != http.MethodPut {
 		return false
 	}
-	p.lose--
+	if *left == 0 {
+		return false
+	}
+	*left--
 	return true
 }
 
@@ -102,7 +108,8 @@
 func (d discard) Write(b []byte) (int, error) { return len(b), nil }
 func (d discard) WriteHeader(int)             {}
 
-// serveSwitch sets outage (0 or 1), slow and listlag (milliseconds), lose (number of write answers), or an instance's
+// serveSwitch sets outage (0 or 1), slow and listlag (milliseconds), lose and loserow (numbers of answers to writes of
+// objects and of rows that are lost after they took effect), or an instance's
 // state (instance and state), and reports the counts of operations.
 func (p *Platform) serveSwitch(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
@@ -111,8 +118,10 @@
 	if query.Has("outage") {
 		p.outage = query.Get("outage") == "1"
 	}
-	if query.Has("lose") {
-		p.lose, _ = strconv.Atoi(query.Get("lose"))
+	for name, field := range map[string]*int{"lose": &p.lose, "loserow": &p.loseRow} {
+		if query.Has(name) {
+			*field, _ = strconv.Atoi(query.Get(name))
+		}
 	}
 	for name, field := range map[string]*time.Duration{"slow": &p.slow, "listlag": &p.listLag} {
 		if query.Has(name) {
