--- a/admit/limit.go
+++ b/admit/limit.go
@@ -23,21 +23,47 @@
 func (f Fixed) Observe(time.Duration, int) {}
 
 const (
-	aimdFactor    = 0.9  // multiplicative decrease
-	aimdTolerance = 2.0  // latency over the baseline that counts as congestion
-	baselineDecay = 1.02 // growth of the baseline per congested observation, so that it forgets old minima
-	smoothing     = 0.1  // weight of a new observation in the gradient's average
-	gradientFloor = 0.5
+	aimdFactor     = 0.9   // multiplicative decrease
+	tolerance      = 1.5   // mean latency over the baseline that counts as congestion
+	baselineGrowth = 1.002 // per window, so that the baseline forgets a target that has become slower
+	minWindow      = 16    // observations
+	smoothing      = 0.2   // weight of a new gradient
+	gradientFloor  = 0.5
 )
 
-// AIMD raises the limit by one per limit's worth of good statements and cuts it when latency exceeds the baseline.
-type AIMD struct {
-	limit    float64
-	low      float64
-	high     float64
+// window averages latencies, because single ones vary more than congestion does. Its baseline is the lowest average.
+type window struct {
+	sum      float64 // seconds
+	count    int
+	busy     bool // the limit was reached within the window
 	baseline float64
 }
 
+// add takes an observation. complete is true when the window is full; mean is then its average, in seconds.
+func (w *window) add(latency time.Duration, running, limit int) (mean float64, busy, complete bool) {
+	w.sum += latency.Seconds()
+	w.count++
+	w.busy = w.busy || running >= limit
+	if w.count < max(minWindow, 2*limit) {
+		return 0, false, false
+	}
+	mean, busy = w.sum/float64(w.count), w.busy
+	w.sum, w.count, w.busy = 0, 0, false
+	w.baseline *= baselineGrowth
+	if w.baseline == 0 || mean < w.baseline {
+		w.baseline = mean
+	}
+	return mean, busy, true
+}
+
+// AIMD raises the limit by one per window that reached it, and cuts it when the mean latency exceeds the baseline.
+type AIMD struct {
+	window window
+	limit  float64
+	low    float64
+	high   float64
+}
+
 // NewAIMD returns a limiter that starts at start and stays between low and high.
 func NewAIMD(start, low, high int) *AIMD {
 	return &AIMD{limit: float64(start), low: float64(max(1, low)), high: float64(high)}
@@ -48,26 +74,22 @@
 
 // Observe adjusts the limit.
 func (a *AIMD) Observe(latency time.Duration, running int) {
-	seconds := latency.Seconds()
-	if a.baseline == 0 || seconds < a.baseline {
-		a.baseline = seconds
-	}
+	mean, busy, complete := a.window.add(latency, running, int(a.limit))
 	switch {
-	case seconds > aimdTolerance*a.baseline:
+	case !complete:
+	case mean > tolerance*a.window.baseline:
 		a.limit = max(a.low, a.limit*aimdFactor)
-		a.baseline *= baselineDecay
-	case running >= int(a.limit):
-		a.limit = min(a.high, a.limit+1/a.limit)
+	case busy:
+		a.limit = min(a.high, a.limit+1)
 	}
 }
 
-// Gradient moves the limit by the ratio of the lowest latency to the current one, plus room for a short queue.
+// Gradient moves the limit by the ratio of the baseline to the mean latency, plus room for a short queue.
 type Gradient struct {
-	limit    float64
-	low      float64
-	high     float64
-	baseline float64
-	average  float64
+	window window
+	limit  float64
+	low    float64
+	high   float64
 }
 
 // NewGradient returns a limiter that starts at start and stays between low and high.
@@ -80,20 +102,11 @@
 
 // Observe adjusts the limit.
 func (g *Gradient) Observe(latency time.Duration, running int) {
-	seconds := latency.Seconds()
-	if g.average == 0 {
-		g.average, g.baseline = seconds, seconds
-	}
-	g.average += smoothing * (seconds - g.average)
-	if seconds < g.baseline {
-		g.baseline = seconds
-	} else {
-		g.baseline += smoothing * smoothing * (seconds - g.baseline)
-	}
-	if running < int(g.limit)/2 {
+	mean, busy, complete := g.window.add(latency, running, int(g.limit))
+	if !complete || !busy {
 		return
 	}
-	gradient := max(gradientFloor, min(1, aimdTolerance*g.baseline/g.average))
+	gradient := max(gradientFloor, min(1, tolerance*g.window.baseline/mean))
 	target := g.limit*gradient + math.Sqrt(g.limit)
 	g.limit = max(g.low, min(g.high, g.limit+smoothing*(target-g.limit)))
 }
--- a/prove/cluster_test.go
+++ b/prove/cluster_test.go
@@ -255,9 +255,10 @@
 	return err
 }
 
-func (c *cluster) mustExec(i int, sql string) {
+// mustExec runs one statement through the first entry.
+func (c *cluster) mustExec(sql string) {
 	c.t.Helper()
-	if err := c.exec(i, "", sql); err != nil {
+	if err := c.exec(0, "", sql); err != nil {
 		c.t.Fatalf("%s: %v", sql, err)
 	}
 }
--- a/prove/history_test.go
+++ b/prove/history_test.go
@@ -117,9 +117,9 @@
 // startCallers creates the registers and starts count callers with seeds of their own.
 func startCallers(c *cluster, count int, entries []int, profile string) *callers {
 	c.t.Helper()
-	c.mustExec(0, "CREATE TABLE register (key INTEGER PRIMARY KEY, value INTEGER)")
+	c.mustExec("CREATE TABLE register (key INTEGER PRIMARY KEY, value INTEGER)")
 	for key := range registers {
-		c.mustExec(0, fmt.Sprintf("INSERT INTO register VALUES (%d, 0)", key))
+		c.mustExec(fmt.Sprintf("INSERT INTO register VALUES (%d, 0)", key))
 	}
 	run := &callers{cluster: c, history: newHistory(), stop: make(chan struct{})}
 	for client := range count {
--- a/prove/once_test.go
+++ b/prove/once_test.go
@@ -82,7 +82,7 @@
 	for name, place := range map[string]func(*cluster, int, int) error{"statement": order, "transaction": orderInTransaction} {
 		t.Run(name, func(t *testing.T) {
 			c := newCluster(t, shape{daemons: 3})
-			c.mustExec(0, "CREATE TABLE stock (number INTEGER, made INTEGER)")
+			c.mustExec("CREATE TABLE stock (number INTEGER, made INTEGER)")
 			const orders, tries = 60, 3
 			told := make([][tries]outcome, orders)
 			seen := newCounter()
@@ -129,10 +129,10 @@
 func best(tries []outcome) outcome {
 	result := notRun
 	for _, o := range tries {
-		switch {
-		case o == ran:
+		switch o {
+		case ran:
 			return ran
-		case o == unknown:
+		case unknown:
 			result = unknown
 		}
 	}
@@ -142,7 +142,7 @@
 // TestLostAnswerIsSettled loses the answer to the commit of a marked request and expects the truth all the same.
 func TestLostAnswerIsSettled(t *testing.T) {
 	c := newCluster(t, shape{daemons: 2})
-	c.mustExec(0, "CREATE TABLE stock (number INTEGER, made INTEGER)")
+	c.mustExec("CREATE TABLE stock (number INTEGER, made INTEGER)")
 	if err := order(c, 0, 0); err != nil {
 		t.Fatal(err)
 	}
--- a/prove/process_test.go
+++ b/prove/process_test.go
@@ -115,8 +115,12 @@
 	p.start(t)
 	t.Cleanup(func() {
 		p.kill(t)
+		body, _ := os.ReadFile(p.log)
+		if at := strings.Index(string(body), "DATA RACE"); at >= 0 {
+			const report = 4000 // bytes
+			t.Errorf("%s: %s", name, body[at:min(len(body), at+report)])
+		}
 		if t.Failed() {
-			body, _ := os.ReadFile(p.log)
 			t.Logf("--- %s ---\n%s", name, tail(string(body)))
 		}
 	})
--- a/prove/session_test.go
+++ b/prove/session_test.go
@@ -21,8 +21,10 @@
 // same session, in the session roamed to another entry with its token and without it, and after a promotion.
 func TestReadYourWrites(t *testing.T) {
 	c := newCluster(t, shape{daemons: 3})
-	c.mustExec(0, "CREATE TABLE route (id INTEGER PRIMARY KEY, grade TEXT)")
-	c.await("replicas with the table", func() bool { return c.exec(1, "-c citronusher.profile=stale", "SELECT * FROM route") == nil })
+	c.mustExec("CREATE TABLE route (id INTEGER PRIMARY KEY, grade TEXT)")
+	c.await("replicas with the table", func() bool {
+		return c.exec(1, "-c citronusher.profile=stale", "SELECT * FROM route") == nil
+	})
 	for i := 1; i < 3; i++ {
 		c.fault(i, "lag=60000")
 	}
@@ -54,7 +56,7 @@
 // token elsewhere.
 func TestReadYourWritesAfterPromotion(t *testing.T) {
 	c := newCluster(t, shape{daemons: 3})
-	c.mustExec(0, "CREATE TABLE route (id INTEGER PRIMARY KEY, grade TEXT)")
+	c.mustExec("CREATE TABLE route (id INTEGER PRIMARY KEY, grade TEXT)")
 	conn := c.mustDial(0, "-c citronusher.session=editor-1 -c citronusher.profile=strong")
 	for i := range 10 {
 		if _, err := conn.Exec(context.Background(), fmt.Sprintf("INSERT INTO route VALUES (%d, '6a')", i)); err != nil {
@@ -74,8 +76,10 @@
 // next read to say so instead of hiding it.
 func TestLostWriteIsReported(t *testing.T) {
 	c := newCluster(t, shape{daemons: 2})
-	c.mustExec(0, "CREATE TABLE route (id INTEGER PRIMARY KEY, grade TEXT)")
-	c.await("replicas with the table", func() bool { return c.exec(1, "-c citronusher.profile=stale", "SELECT * FROM route") == nil })
+	c.mustExec("CREATE TABLE route (id INTEGER PRIMARY KEY, grade TEXT)")
+	c.await("replicas with the table", func() bool {
+		return c.exec(1, "-c citronusher.profile=stale", "SELECT * FROM route") == nil
+	})
 	first := c.primary()
 	for i := range c.members {
 		if i != first {
--- a/prove/stop_test.go
+++ b/prove/stop_test.go
@@ -103,7 +103,7 @@
 func TestLeavingTargetGetsNoWork(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, shape{daemons: 3})
-	c.mustExec(0, "CREATE TABLE stock (number INTEGER)")
+	c.mustExec("CREATE TABLE stock (number INTEGER)")
 	first := c.primary()
 	var stop atomic.Bool
 	var group errgroup.Group
--- a/prove/term_test.go
+++ b/prove/term_test.go
@@ -88,7 +88,7 @@
 func supersededWrites(t *testing.T, mutant string) (acknowledged, missing int) {
 	t.Helper()
 	c := newCluster(t, shape{daemons: 3, homes: 3, mutant: mutant})
-	c.mustExec(0, "CREATE TABLE signature (id INTEGER PRIMARY KEY)")
+	c.mustExec("CREATE TABLE signature (id INTEGER PRIMARY KEY)")
 	isolate(c, c.primary(), "d1")
 	c.await("a new primary on the other side", func() bool {
 		return c.exec(1, "", "INSERT INTO signature VALUES (1000)") == nil
--- a/prove/transaction_test.go
+++ b/prove/transaction_test.go
@@ -95,7 +95,7 @@
 func TestTransactionsNeverMix(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, shape{daemons: 3})
-	c.mustExec(0, "CREATE TABLE pair (id INTEGER, part INTEGER)")
+	c.mustExec("CREATE TABLE pair (id INTEGER, part INTEGER)")
 	told := newCounter()
 	var group errgroup.Group
 	for client := range 24 {
@@ -201,8 +201,10 @@
 func TestAbortedTransactionStaysAborted(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, shape{daemons: 2})
-	c.mustExec(0, "CREATE TABLE pair (id INTEGER, part INTEGER)")
-	c.await("replicas with the table", func() bool { return c.exec(0, "-c citronusher.profile=strong", "DELETE FROM pair") == nil })
+	c.mustExec("CREATE TABLE pair (id INTEGER, part INTEGER)")
+	c.await("replicas with the table", func() bool {
+		return c.exec(0, "-c citronusher.profile=strong", "DELETE FROM pair") == nil
+	})
 	conn := c.mustDial(0, "")
 	ctx := context.Background()
 	if _, err := conn.Exec(ctx, "BEGIN"); err != nil {
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,65 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/profile"
+	"citronusher.example/citronusher/retry"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestAllowed(t *testing.T) {
+	notRun := citronusher.Refuse(citronusher.ReasonConnect, "x")
+	unknown := citronusher.Doubt(citronusher.ReasonBroken, "x")
+	for name, c := range map[string]struct {
+		try  retry.Try
+		want bool
+	}{
+		"not run":                         {retry.Try{Failure: notRun, Repeat: profile.RepeatNever}, true},
+		"not run, but rows were streamed": {retry.Try{Failure: notRun, Streamed: true}, false},
+		"not run inside a transaction":    {retry.Try{Failure: notRun, Pinned: true}, false},
+		"not run for a final reason": {
+			retry.Try{Failure: citronusher.Refuse(citronusher.ReasonLost, "x"), Repeat: profile.RepeatFree}, false,
+		},
+		"unknown":            {retry.Try{Failure: unknown, Repeat: profile.RepeatSafe}, false},
+		"unknown idempotent": {retry.Try{Failure: unknown, Repeat: profile.RepeatFree}, true},
+		"unknown never":      {retry.Try{Failure: unknown, Repeat: profile.RepeatNever}, false},
+		"unknown marked":     {retry.Try{Failure: unknown, Repeat: profile.RepeatNever, Marked: true}, true},
+	} {
+		c.try.RetryAt, c.try.Deadline = now, now.Add(time.Second)
+		if got := retry.Allowed(c.try); got != c.want {
+			t.Errorf("%s: allowed %t", name, got)
+		}
+		c.try.RetryAt = c.try.Deadline
+		if retry.Allowed(c.try) {
+			t.Errorf("%s: allowed past the deadline", name)
+		}
+	}
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	b := retry.NewBudget()
+	spent := 0
+	for range 1000 {
+		b.Earn()
+		for b.Spend() {
+			spent++
+		}
+	}
+	if spent < 100 || spent > 120 {
+		t.Errorf("%d retries for 1000 requests", spent)
+	}
+}
+
+func TestDelayStaysBounded(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for attempt := range 50 {
+		if d := retry.Delay(attempt, random); d < 0 || d > 500*time.Millisecond {
+			t.Errorf("attempt %d: %s", attempt, d)
+		}
+	}
+}
--- /dev/null
+++ b/term/term_test.go
@@ -0,0 +1,168 @@
+package term_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/term"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(milliseconds int) time.Time { return start.Add(time.Duration(milliseconds) * time.Millisecond) }
+
+// watchScript drives a watch by the lines of a script.
+type watchScript struct {
+	watch *term.Watch
+	now   int
+}
+
+func (s *watchScript) run(d *datadriven.TestData) string {
+	var out strings.Builder
+	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+		fields := strings.Fields(line)
+		switch fields[0] {
+		case "at":
+			_, _ = fmt.Sscan(fields[1], &s.now)
+		case "answer": // answer MEMBER ROLE TERM OFFSET HEARD: heard so many milliseconds ago
+			var newTerm, offset uint64
+			var heard int
+			_, _ = fmt.Sscan(strings.Join(fields[3:], " "), &newTerm, &offset, &heard)
+			state := citronusher.NewMemberState(citronusher.Role(fields[2]), newTerm,
+				citronusher.NewPosition(newTerm, offset), nil, at(s.now))
+			s.watch.Observe(fields[1], state.WithReplication(at(s.now-heard), at(s.now-heard)), at(s.now))
+		case "silent":
+			s.watch.Fail(fields[1], false)
+		case "refused":
+			s.watch.Fail(fields[1], true)
+		case "leaving":
+			s.watch.SetLeaving(fields[1], true, at(s.now))
+		case "rank":
+			var rank int
+			_, _ = fmt.Sscan(fields[1], &rank)
+			s.watch.SetRank(rank)
+		case "decide":
+			a := s.watch.Decide(at(s.now))
+			switch {
+			case a.Promote > 0 && a.Planned:
+				fmt.Fprintf(&out, "%d: planned promotion to term %d\n", s.now, a.Promote)
+			case a.Promote > 0:
+				fmt.Fprintf(&out, "%d: promote to term %d\n", s.now, a.Promote)
+			case len(a.Follow) > 0:
+				fmt.Fprintf(&out, "%d: %s follow %s under term %d\n", s.now, strings.Join(a.Follow, " "), a.Primary, a.Term)
+			default:
+				fmt.Fprintf(&out, "%d: nothing\n", s.now)
+			}
+		default:
+			d.Fatalf(nil, "unknown line %q", line)
+		}
+	}
+	return out.String()
+}
+
+func TestWatch(t *testing.T) {
+	datadriven.RunTest(t, "testdata/watch.txt", func(_ *testing.T, d *datadriven.TestData) string {
+		s := &watchScript{watch: term.NewWatch([]string{"m1", "m2", "m3"}, term.DefaultLimits(), start)}
+		return s.run(d)
+	})
+}
+
+func TestConfirm(t *testing.T) {
+	datadriven.RunTest(t, "testdata/confirm.txt", func(_ *testing.T, d *datadriven.TestData) string {
+		r := term.NewRound(4, "m1", 3)
+		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+			fields := strings.Fields(line)
+			if fields[1] == "missing" {
+				r.Missing(fields[0])
+				continue
+			}
+			var answered, offset uint64
+			_, _ = fmt.Sscan(fields[2], &answered)
+			_, _ = fmt.Sscan(fields[3], &offset)
+			r.Answer(fields[0], citronusher.NewMemberState(citronusher.Role(fields[1]), answered,
+				citronusher.NewPosition(answered, offset), nil, start))
+		}
+		verdicts := map[term.Verdict]string{
+			term.Pending: "pending", term.Confirmed: "confirmed", term.Superseded: "superseded",
+		}
+		return fmt.Sprintf("%s at %s, copied %t\n", verdicts[r.Verdict()], r.Position(), r.Held(r.Position()))
+	})
+}
+
+// fencedMember is the members' rule: a term must be above the member's own.
+type fencedMember struct{ term uint64 }
+
+func (m *fencedMember) fence(newTerm uint64) bool {
+	if newTerm <= m.term {
+		return false
+	}
+	m.term = newTerm
+	return true
+}
+
+// TestClaimsExclude lets two claimants race for terms in every interleaving that the generator finds: no term has two
+// winners, and after a claim is won no round can confirm an older term.
+func TestClaimsExclude(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.SampledFrom([]int{3, 5}).Draw(t, "members")
+		members := make([]fencedMember, count)
+		for i := range members {
+			members[i].term = 1
+		}
+		winners := map[uint64]string{}
+		claims := map[string]*term.Claim{}
+		terms := map[string]uint64{"a": 2, "b": 2}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			claimant := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "claimant")
+			if claims[claimant] == nil || rapid.IntRange(0, 5).Draw(t, "again") == 0 {
+				terms[claimant] += uint64(rapid.IntRange(0, 1).Draw(t, "bump"))
+				claims[claimant] = term.NewClaim(terms[claimant], count)
+			}
+			i := rapid.IntRange(0, count-1).Draw(t, "member")
+			if members[i].fence(terms[claimant]) {
+				claims[claimant].Fenced(fmt.Sprint(i), citronusher.MemberState{})
+			}
+			if !claims[claimant].Won() {
+				continue
+			}
+			won := terms[claimant]
+			if other, ok := winners[won]; ok && other != claimant {
+				t.Fatalf("term %d was won by %s and %s", won, other, claimant)
+			}
+			winners[won] = claimant
+			old := term.NewRound(won-1, "0", count)
+			for j := range members {
+				old.Answer(fmt.Sprint(j), citronusher.NewMemberState(citronusher.RolePrimary, members[j].term,
+					citronusher.Position{}, nil, start))
+			}
+			if old.Verdict() == term.Confirmed {
+				t.Fatalf("term %d was confirmed after %d was won", won-1, won)
+			}
+		}
+	})
+}
+
+func TestWinnerHasTheLatestLog(t *testing.T) {
+	c := term.NewClaim(5, 3)
+	state := func(logTerm, offset uint64) citronusher.MemberState {
+		return citronusher.NewMemberState(citronusher.RoleReplica, 5, citronusher.NewPosition(logTerm, offset), nil, start)
+	}
+	c.Fenced("m1", state(3, 90))
+	if _, ok := c.Winner(func(string) bool { return true }); ok {
+		t.Error("a minority elected a winner")
+	}
+	c.Fenced("m2", state(4, 80))
+	c.Fenced("m3", state(4, 85))
+	if name, ok := c.Winner(func(string) bool { return true }); !ok || name != "m3" {
+		t.Errorf("winner %q, %t", name, ok)
+	}
+	if name, _ := c.Winner(func(name string) bool { return name != "m3" }); name != "m2" {
+		t.Errorf("winner among the members that stay: %q", name)
+	}
+}
--- a/term/watch.go
+++ b/term/watch.go
@@ -224,6 +224,9 @@
 // strays returns the members that do not follow the primary, and notes that they are ordered to.
 func (w *Watch) strays(primary string, term uint64, now time.Time) []string {
 	var strays []string
+	if !w.members[primary].reachable() {
+		return nil
+	}
 	for _, name := range w.order {
 		o := w.members[name]
 		if name == primary || !o.reachable() || now.Before(o.orderedAt.Add(w.limits.Refollow)) {
