--- /dev/null
+++ b/cmd/citronusher-load/main.go
@@ -0,0 +1,23 @@
+// Command citronusher-load offers requests to a running system and reports latencies, outcomes and throughput.
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/alecthomas/kong"
+
+	"citronusher.example/citronusher/load"
+)
+
+func main() {
+	var options load.Options
+	parsed := kong.Parse(&options, kong.Name("citronusher-load"), kong.Description("Offers load and reports."))
+	report, err := load.New(options).Run(context.Background())
+	parsed.FatalIfErrorf(err)
+	fmt.Println(strings.Join(report.Summary(), "\n"))
+	if options.Out != "" {
+		parsed.FatalIfErrorf(report.Write(options.Out))
+	}
+}
