entry: give prepared statements back without asking a home

Cause: a driver sends Close and Sync to give a cached statement back. Ruled out: two answers to one request from the proxy; the trace holds one ReadyForQuery for each Sync and Query. Change: exchanges that only close statements are answered by the entry (TestClosingStatementsAsksNoHome). Also: a cancel request that is on its way when its exchange ends keeps the connection from being used again.

--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,286 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/entry"
+	"citronusher.example/citronusher/meter"
+	"citronusher.example/citronusher/pg"
+	"citronusher.example/citronusher/profile"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeHome answers each exchange by the next entry of its script: a failure, or nil for an answer.
+type fakeHome struct {
+	mu     sync.Mutex
+	script []error
+	asked  []citronusher.Request
+	closed int
+}
+
+func (h *fakeHome) Open(context.Context, string) (citronusher.Work, error) {
+	return &fakeWork{home: h}, nil
+}
+
+type fakeWork struct {
+	home *fakeHome
+	open bool
+}
+
+func (w *fakeWork) Do(_ context.Context, r citronusher.Request, sink citronusher.Sink) (citronusher.Result, error) {
+	w.home.mu.Lock()
+	defer w.home.mu.Unlock()
+	w.home.asked = append(w.home.asked, r)
+	if len(w.home.script) > 0 {
+		err := w.home.script[0]
+		w.home.script = w.home.script[1:]
+		if err != nil {
+			return citronusher.Result{}, err
+		}
+	}
+	sql := pg.StatementText(r.Exchange.Steps[0])
+	switch {
+	case strings.HasPrefix(strings.ToUpper(sql), "BEGIN"):
+		w.open = true
+	case strings.HasPrefix(strings.ToUpper(sql), "COMMIT"):
+		w.open = false
+	}
+	for _, step := range r.Exchange.Steps {
+		var m pgproto3.BackendMessage
+		switch step.Kind {
+		case citronusher.StepParse:
+			m = &pgproto3.ParseComplete{}
+		case citronusher.StepBind:
+			m = &pgproto3.BindComplete{}
+		case citronusher.StepDescribe:
+			m = &pgproto3.NoData{}
+		case citronusher.StepQuery, citronusher.StepExecute:
+			m = &pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")}
+		default:
+			continue
+		}
+		raw, err := m.Encode(nil)
+		if err != nil {
+			return citronusher.Result{}, err
+		}
+		if err := sink(raw); err != nil {
+			return citronusher.Result{}, err
+		}
+	}
+	status := pg.StatusIdle
+	if w.open {
+		status = pg.StatusActive
+	}
+	return citronusher.Result{Status: status, Pinned: w.open, Position: citronusher.NewPosition(1, uint64(len(w.home.asked)))}, nil
+}
+
+func (w *fakeWork) Close() error {
+	w.home.mu.Lock()
+	defer w.home.mu.Unlock()
+	w.home.closed++
+	return nil
+}
+
+// fakeRouter knows two daemons.
+type fakeRouter struct{ hops []entry.Hop }
+
+func (r fakeRouter) Route(string, string, bool) []entry.Hop         { return r.hops }
+func (r fakeRouter) Failed(string)                                  {}
+func (r fakeRouter) Cancel(context.Context, uint16, uint32, uint32) {}
+
+// newEntry starts an entry before two fake homes.
+func newEntry(t *testing.T) (*entry.Entry, *fakeHome, *fakeHome) {
+	t.Helper()
+	first, second := &fakeHome{}, &fakeHome{}
+	document, err := profile.New().Edit(profile.PartTarget, "guide-1", 0,
+		[]byte(`{"connections": 16, "slots": 2, "members": [{"name": "m1", "address": "127.0.0.1:1", "domain": "oita"}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := entry.New(entry.Config{
+		Self: "d1", Address: "127.0.0.1:0", Idle: time.Minute, Clock: citronusher.SystemClock{},
+		Password: func(user string) (string, bool) { return "caller", user == "caller" },
+		Document: func() profile.Document { return document },
+		Router:   fakeRouter{hops: []entry.Hop{entry.NewHop("d1", first, true), entry.NewHop("d2", second, false)}},
+		Logger:   slog.New(slog.DiscardHandler), Meter: meter.New(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = e.Close() })
+	return e, first, second
+}
+
+func dial(t *testing.T, e *entry.Entry, options string) *pgx.Conn {
+	t.Helper()
+	config, err := pgx.ParseConfig("postgres://caller:caller@" + e.Address() + "/guide-1?sslmode=disable")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if options != "" {
+		config.RuntimeParams["options"] = options
+	}
+	conn, err := pgx.ConnectConfig(context.Background(), config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+func state(err error) string {
+	var answer *pgconn.PgError
+	if errors.As(err, &answer) {
+		return answer.Code + " " + answer.Detail
+	}
+	return ""
+}
+
+func TestNotRunIsTriedAtAnotherHome(t *testing.T) {
+	e, first, second := newEntry(t)
+	first.script = []error{citronusher.Refuse(citronusher.ReasonClosed, "x")}
+	if _, err := dial(t, e, "").Exec(context.Background(), "INSERT"); err != nil {
+		t.Fatal(err)
+	}
+	if len(first.asked) != 1 || len(second.asked) != 1 {
+		t.Errorf("asked %d and %d times", len(first.asked), len(second.asked))
+	}
+}
+
+func TestUnknownIsToldAndNotRepeated(t *testing.T) {
+	e, first, second := newEntry(t)
+	first.script = []error{citronusher.Doubt(citronusher.ReasonBroken, "x")}
+	_, err := dial(t, e, "").Exec(context.Background(), "INSERT")
+	if state(err) != "08007 outcome: unknown; reason: broken" {
+		t.Errorf("error %v, %s", err, state(err))
+	}
+	if len(first.asked)+len(second.asked) != 1 {
+		t.Error("a request with an unknown outcome was repeated")
+	}
+}
+
+// TestClosingStatementsAsksNoHome refuses everything at the homes: statements can be given back all the same. A driver
+// that was refused here lost count of its answers under load.
+func TestClosingStatementsAsksNoHome(t *testing.T) {
+	e, first, second := newEntry(t)
+	conn := dial(t, e, "")
+	if _, err := conn.Prepare(context.Background(), "s1", "INSERT"); err != nil {
+		t.Fatal(err)
+	}
+	asked := len(first.asked) + len(second.asked)
+	if err := conn.Deallocate(context.Background(), "s1"); err != nil {
+		t.Error(err)
+	}
+	if len(first.asked)+len(second.asked) != asked {
+		t.Error("a home was asked to close a statement")
+	}
+}
+
+func TestBrokenTransactionMustBeEnded(t *testing.T) {
+	e, first, _ := newEntry(t)
+	first.script = []error{nil, citronusher.Refuse(citronusher.ReasonBroken, "x")}
+	conn := dial(t, e, "")
+	ctx := context.Background()
+	if _, err := conn.Exec(ctx, "BEGIN"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Exec(ctx, "INSERT"); state(err) != "57P03 outcome: not run; reason: broken" {
+		t.Errorf("statement: %s", state(err))
+	}
+	if _, err := conn.Exec(ctx, "INSERT"); state(err) != "25P02 outcome: not run; reason: gone" {
+		t.Errorf("later statement: %s", state(err))
+	}
+	if tag, err := conn.Exec(ctx, "COMMIT"); err != nil || tag.String() != "ROLLBACK" {
+		t.Errorf("commit: %s %v", tag, err)
+	}
+	if _, err := conn.Exec(ctx, "INSERT"); err != nil {
+		t.Errorf("after the transaction: %v", err)
+	}
+	if len(first.asked) != 3 {
+		t.Errorf("the home was asked %d times", len(first.asked))
+	}
+}
+
+func TestTokenFollowsTheSession(t *testing.T) {
+	e, first, _ := newEntry(t)
+	conn := dial(t, e, "-c citronusher.session=editor -c citronusher.token=guide-1=1/7")
+	if _, err := conn.Exec(context.Background(), "INSERT"); err != nil {
+		t.Fatal(err)
+	}
+	if got := first.asked[0]; !got.Known || got.Seen != citronusher.NewPosition(1, 7) {
+		t.Errorf("the home was told %s, known %t", got.Seen, got.Known)
+	}
+	if token := conn.PgConn().ParameterStatus("citronusher.token"); token != "guide-1=1/7" {
+		t.Errorf("token %q went back", token)
+	}
+}
+
+// TestBadInputCostsOneError sends bad start-up messages and statements: each gets one error, and others are served.
+func TestBadInputCostsOneError(t *testing.T) {
+	e, _, _ := newEntry(t)
+	other := dial(t, e, "")
+	for name, c := range map[string]struct{ url, want string }{
+		"wrong password":   {"postgres://caller:wrong@%s/guide-1", "28P01"},
+		"unknown user":     {"postgres://nobody:wrong@%s/guide-1", "28P01"},
+		"unknown database": {"postgres://caller:caller@%s/nope", "3D000"},
+		"unknown profile":  {"postgres://caller:caller@%s/guide-1?options=-c%%20citronusher.profile=nope", "22023"},
+		"broken token":     {"postgres://caller:caller@%s/guide-1?options=-c%%20citronusher.token=x", "0A000"},
+	} {
+		url := strings.Replace(strings.ReplaceAll(c.url, "%%", "%"), "%s", e.Address(), 1)
+		_, err := pgx.Connect(context.Background(), url)
+		if !strings.HasPrefix(state(err), c.want) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	for _, sql := range []string{"SET search_path = x", "LISTEN x", "SET citronusher.colour = 'x'"} {
+		if _, err := other.Exec(context.Background(), sql); !strings.HasPrefix(state(err), "0A000 outcome: not run") {
+			t.Errorf("%s: %v", sql, err)
+		}
+	}
+	if _, err := other.Exec(context.Background(), strings.Repeat("x", 20<<20)); err == nil {
+		t.Error("an oversized message was taken")
+	}
+	if _, err := dial(t, e, "").Exec(context.Background(), "INSERT"); err != nil {
+		t.Errorf("another caller: %v", err)
+	}
+}
+
+// TestDrainEndsIdleSessions drains with an idle session and an open transaction: the first ends with a true error, the
+// second may finish.
+func TestDrainEndsIdleSessions(t *testing.T) {
+	e, _, _ := newEntry(t)
+	idle, busy := dial(t, e, ""), dial(t, e, "")
+	ctx := context.Background()
+	if _, err := busy.Exec(ctx, "BEGIN"); err != nil {
+		t.Fatal(err)
+	}
+	var drain errgroup.Group
+	drain.Go(func() error { e.Drain(ctx); return nil })
+	_, err := idle.Exec(ctx, "INSERT")
+	for err == nil {
+		_, err = idle.Exec(ctx, "INSERT")
+	}
+	if got := state(err); got != "" && !strings.HasPrefix(got, "57P01 outcome: not run") {
+		t.Errorf("idle session: %s", got)
+	}
+	for _, sql := range []string{"INSERT", "COMMIT"} {
+		if _, err := busy.Exec(ctx, sql); err != nil {
+			t.Errorf("%s: %v", sql, err)
+		}
+	}
+	_ = drain.Wait()
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -27,6 +27,13 @@
 	if len(exchange.Steps) == 1 && exchange.Steps[0].Kind == citronusher.StepSync && !s.pinned {
 		return s.finish(false)
 	}
+	if !s.partial && onlyCloses(exchange) {
+		if err := s.sendLocal(exchange, localAnswer{}); err != nil {
+			return err
+		}
+		return s.finish(exchange.Partial)
+	}
+	s.partial = exchange.Partial
 	answer, local, err := s.answerLocally(text)
 	switch {
 	case local && err == nil:
@@ -46,6 +53,17 @@
 	return s.finish(exchange.Partial)
 }
 
+// onlyCloses reports whether an exchange only closes prepared statements. Targets keep those, so that no home is asked:
+// a caller that gives a statement back must not be refused for the load of a target.
+func onlyCloses(exchange citronusher.Exchange) bool {
+	for _, step := range exchange.Steps {
+		if step.Kind != citronusher.StepSync && (step.Kind != citronusher.StepClose || step.Name == "") {
+			return false
+		}
+	}
+	return true
+}
+
 // fail answers with a failure and sets the transaction's state after it.
 func (s *callerSession) fail(exchange citronusher.Exchange, f *citronusher.Failure) error {
 	s.entry.config.Meter.Failed(f)
--- a/entry/session.go
+++ b/entry/session.go
@@ -56,6 +56,7 @@
 	hop        Hop
 	work       citronusher.Work
 	pinned     bool
+	partial    bool // the last exchange ended with Flush
 	out        []byte
 	streamed   bool
 	exchange   collector
--- a/pg/exchange.go
+++ b/pg/exchange.go
@@ -69,12 +69,18 @@
 		return Answer{}, Ended(err)
 	}
 	_ = c.conn.SetDeadline(time.Time{})
+	cancelled := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
-		c.dirty = true
+		defer close(cancelled)
 		_ = c.conn.SetDeadline(time.Now().Add(cancelWait))
 		c.cancel()
 	})
-	defer stop()
+	defer func() {
+		if !stop() { // the cancel request may still arrive: it must not meet another request here
+			<-cancelled
+			c.dirty = true
+		}
+	}()
 	sent, err := c.conn.Write(raw)
 	if err != nil {
 		return Answer{}, c.broken(before, exchange, sent == len(raw), err)
