--- a/settings/settings.go
+++ b/settings/settings.go
@@ -87,7 +87,7 @@
 func defaults() fields {
 	return fields{
 		Entry: listener{Address: defaultEntry}, Peer: listener{Address: defaultPeer}, Health: "127.0.0.1:7072",
-		Log: "info", Drain: "30s", Idle: "60s", Limit: "aimd",
+		Log: "info", Drain: "30s", Idle: "60s", Limit: "gradient",
 		Platform: platform{Region: "local", Access: "local", Secret: "local"},
 		Policy:   policy{Replicas: true, Queue: true, Homes: true},
 	}
--- a/spread/store_test.go
+++ b/spread/store_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"testing"
 
@@ -164,6 +163,6 @@
 	handled := 0
 	handle := func(payload []byte) { handled += len(payload) }
 	for b.Loop() {
-		handle([]byte(fmt.Sprint("x")))
+		handle([]byte("x"))
 	}
 }
