--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -81,24 +81,19 @@
 type Option func(*options)
 
 type options struct {
-	dial   peer.Dial
-	limits term.Limits
-	unsafe bool
-	clock  citronusher.Clock
+	unconfirmed bool
+	clock       citronusher.Clock
 }
 
-// WithDial replaces the dialer towards peers, for tests that cut links.
-func WithDial(dial peer.Dial) Option { return func(o *options) { o.dial = dial } }
-
-// WithLimits replaces the spans of the failover decision.
-func WithLimits(limits term.Limits) Option { return func(o *options) { o.limits = limits } }
+// WithClock replaces the machine's clock.
+func WithClock(clock citronusher.Clock) Option { return func(o *options) { o.clock = clock } }
 
 // WithoutConfirmation acknowledges commits unconfirmed, for proofs that show what confirmation prevents.
-func WithoutConfirmation() Option { return func(o *options) { o.unsafe = true } }
+func WithoutConfirmation() Option { return func(o *options) { o.unconfirmed = true } }
 
 // New starts a daemon. It becomes ready in the background, once it has a configuration.
 func New(s settings.Settings, logger *slog.Logger, opts ...Option) (*Daemon, error) {
-	o := options{limits: term.DefaultLimits(), clock: citronusher.SystemClock{}}
+	o := options{clock: citronusher.SystemClock{}}
 	for _, option := range opts {
 		option(&o)
 	}
@@ -130,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	d.client = peer.NewClient(s.PeerKey(), clientTLS(peerTLS), o.dial, d.clock)
+	d.client = peer.NewClient(s.PeerKey(), clientTLS(peerTLS), d.clock)
 	d.homes = home.New(d.homeConfig(o))
 	d.spreader, err = spread.New(spread.Config{
 		Address: s.Peer(), Table: d.table, Objects: object.New(s.Objects(), s.Region(), bucketName, provider),
@@ -186,7 +181,7 @@
 		Meter: d.meter, Promoted: d.promoted,
 		Policy: home.Policy{
 			Replicas: s.UseReplicas(), Queue: s.UseQueue(), Homes: s.UseHomes(), Limiter: limiters[s.Limit()],
-			Limits: o.limits, NoConfirm: o.unsafe,
+			Limits: term.DefaultLimits(), NoConfirm: o.unconfirmed,
 		},
 	}
 }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -2,8 +2,14 @@
 
 import (
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"log/slog"
+	"math/big"
 	"strings"
 	"sync"
 	"testing"
@@ -85,7 +91,8 @@
 	if w.open {
 		status = pg.StatusActive
 	}
-	return citronusher.Result{Status: status, Pinned: w.open, Position: citronusher.NewPosition(1, uint64(len(w.home.asked)))}, nil
+	position := citronusher.NewPosition(1, uint64(len(w.home.asked)))
+	return citronusher.Result{Status: status, Pinned: w.open, Position: position}, nil
 }
 
 func (w *fakeWork) Close() error {
@@ -103,7 +110,7 @@
 func (r fakeRouter) Cancel(context.Context, uint16, uint32, uint32) {}
 
 // newEntry starts an entry before two fake homes.
-func newEntry(t *testing.T) (*entry.Entry, *fakeHome, *fakeHome) {
+func newEntry(t *testing.T, config *tls.Config) (*entry.Entry, *fakeHome, *fakeHome) {
 	t.Helper()
 	first, second := &fakeHome{}, &fakeHome{}
 	document, err := profile.New().Edit(profile.PartTarget, "guide-1", 0,
@@ -112,7 +119,7 @@
 		t.Fatal(err)
 	}
 	e, err := entry.New(entry.Config{
-		Self: "d1", Address: "127.0.0.1:0", Idle: time.Minute, Clock: citronusher.SystemClock{},
+		Self: "d1", Address: "127.0.0.1:0", TLS: config, Idle: time.Minute, Clock: citronusher.SystemClock{},
 		Password: func(user string) (string, bool) { return "caller", user == "caller" },
 		Document: func() profile.Document { return document },
 		Router:   fakeRouter{hops: []entry.Hop{entry.NewHop("d1", first, true), entry.NewHop("d2", second, false)}},
@@ -151,7 +158,7 @@
 }
 
 func TestNotRunIsTriedAtAnotherHome(t *testing.T) {
-	e, first, second := newEntry(t)
+	e, first, second := newEntry(t, nil)
 	first.script = []error{citronusher.Refuse(citronusher.ReasonClosed, "x")}
 	if _, err := dial(t, e, "").Exec(context.Background(), "INSERT"); err != nil {
 		t.Fatal(err)
@@ -162,7 +169,7 @@
 }
 
 func TestUnknownIsToldAndNotRepeated(t *testing.T) {
-	e, first, second := newEntry(t)
+	e, first, second := newEntry(t, nil)
 	first.script = []error{citronusher.Doubt(citronusher.ReasonBroken, "x")}
 	_, err := dial(t, e, "").Exec(context.Background(), "INSERT")
 	if state(err) != "08007 outcome: unknown; reason: broken" {
@@ -176,7 +183,7 @@
 // TestClosingStatementsAsksNoHome refuses everything at the homes: statements can be given back all the same. A driver
 // that was refused here lost count of its answers under load.
 func TestClosingStatementsAsksNoHome(t *testing.T) {
-	e, first, second := newEntry(t)
+	e, first, second := newEntry(t, nil)
 	conn := dial(t, e, "")
 	if _, err := conn.Prepare(context.Background(), "s1", "INSERT"); err != nil {
 		t.Fatal(err)
@@ -191,7 +198,7 @@
 }
 
 func TestBrokenTransactionMustBeEnded(t *testing.T) {
-	e, first, _ := newEntry(t)
+	e, first, _ := newEntry(t, nil)
 	first.script = []error{nil, citronusher.Refuse(citronusher.ReasonBroken, "x")}
 	conn := dial(t, e, "")
 	ctx := context.Background()
@@ -216,7 +223,7 @@
 }
 
 func TestTokenFollowsTheSession(t *testing.T) {
-	e, first, _ := newEntry(t)
+	e, first, _ := newEntry(t, nil)
 	conn := dial(t, e, "-c citronusher.session=editor -c citronusher.token=guide-1=1/7")
 	if _, err := conn.Exec(context.Background(), "INSERT"); err != nil {
 		t.Fatal(err)
@@ -229,9 +236,32 @@
 	}
 }
 
+// TestTLS serves a caller over TLS with a certificate of its own.
+func TestTLS(t *testing.T) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
+	certificate, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pair := tls.Certificate{Certificate: [][]byte{certificate}, PrivateKey: key}
+	e, _, _ := newEntry(t, &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12})
+	conn, err := pgx.Connect(context.Background(), "postgres://caller:caller@"+e.Address()+"/guide-1?sslmode=require")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close(context.Background()) }()
+	if _, err := conn.Exec(context.Background(), "INSERT"); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestBadInputCostsOneError sends bad start-up messages and statements: each gets one error, and others are served.
 func TestBadInputCostsOneError(t *testing.T) {
-	e, _, _ := newEntry(t)
+	e, _, _ := newEntry(t, nil)
 	other := dial(t, e, "")
 	for name, c := range map[string]struct{ url, want string }{
 		"wrong password":   {"postgres://caller:wrong@%s/guide-1", "28P01"},
@@ -262,7 +292,7 @@
 // TestDrainEndsIdleSessions drains with an idle session and an open transaction: the first ends with a true error, the
 // second may finish.
 func TestDrainEndsIdleSessions(t *testing.T) {
-	e, _, _ := newEntry(t)
+	e, _, _ := newEntry(t, nil)
 	idle, busy := dial(t, e, ""), dial(t, e, "")
 	ctx := context.Background()
 	if _, err := busy.Exec(ctx, "BEGIN"); err != nil {
--- a/group/group.go
+++ b/group/group.go
@@ -111,7 +111,7 @@
 		}
 		numbers[column] = number
 	}
-	branches, err := parseBranches(string(row[columnBranches]))
+	branches, err := citronusher.ParseBranches(string(row[columnBranches]))
 	if err != nil {
 		return citronusher.MemberState{}, err
 	}
@@ -126,21 +126,6 @@
 	return at.Add(-time.Duration(min(milliseconds, longest)) * time.Millisecond)
 }
 
-func parseBranches(text string) ([]citronusher.Branch, error) {
-	var branches []citronusher.Branch
-	for _, pair := range strings.Split(text, ",") {
-		if pair == "" {
-			continue
-		}
-		var term, start uint64
-		if _, err := fmt.Sscanf(pair, "%d:%d", &term, &start); err != nil {
-			return nil, fmt.Errorf("%w: branch %q", citronusher.ErrInvalid, pair)
-		}
-		branches = append(branches, citronusher.NewBranch(term, start))
-	}
-	return branches, nil
-}
-
 // Close drops the connection after the call in progress.
 func (t *Target) Close() error {
 	<-t.turn
--- a/home/confirm.go
+++ b/home/confirm.go
@@ -137,11 +137,11 @@
 	d.set.config.Meter.Rounds().Inc(1)
 	b.asked = current
 	b.round = term.NewRound(current, primary, len(members))
-	answers := make(chan fenceAnswer, len(members))
+	answers := make(chan memberAnswer, len(members))
 	for name, t := range members {
 		d.group.Go(func() error {
 			state, err := d.askOne(t)
-			answers <- fenceAnswer{name: name, state: state, err: err}
+			answers <- memberAnswer{name: name, state: state, err: err}
 			return nil
 		})
 	}
--- a/home/promote.go
+++ b/home/promote.go
@@ -12,16 +12,15 @@
 )
 
 const (
-	fenceTimeout  = 700 * time.Millisecond
-	settleTime    = 150 * time.Millisecond // for the last members' answers after a majority accepted
-	catchUpLimit  = 1500 * time.Millisecond
-	catchUpPause  = 20 * time.Millisecond
-	promoteRetry  = 200 * time.Millisecond // the shortest pause after a failed promotion
-	maxGroupOrder = 16                     // answers that a claim can hold
+	fenceTimeout = 700 * time.Millisecond
+	settleTime   = 150 * time.Millisecond // for the last members' answers after a majority accepted
+	catchUpLimit = 1500 * time.Millisecond
+	catchUpPause = 20 * time.Millisecond
+	promoteRetry = 200 * time.Millisecond // the shortest pause after a failed promotion
 )
 
-// fenceAnswer is one member's answer to a fence order.
-type fenceAnswer struct {
+// memberAnswer is one member's answer to a question or an order.
+type memberAnswer struct {
 	name  string
 	state citronusher.MemberState
 	err   error
@@ -73,15 +72,16 @@
 func (d *database) fence(ctx context.Context, claim *term.Claim, newTerm uint64, skip string) {
 	ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
 	defer cancel()
-	answers := make(chan fenceAnswer, maxGroupOrder)
+	members := d.members()
+	answers := make(chan memberAnswer, len(members))
 	var group errgroup.Group
-	for name, t := range d.members() {
+	for name, t := range members {
 		if name == skip {
 			continue
 		}
 		group.Go(func() error {
 			state, err := t.control.Fence(ctx, newTerm, d.set.config.Self)
-			answers <- fenceAnswer{name: name, state: state, err: err}
+			answers <- memberAnswer{name: name, state: state, err: err}
 			return nil
 		})
 	}
--- a/load/load.go
+++ b/load/load.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/profile"
 )
 
 const (
@@ -72,16 +73,16 @@
 // mixes are shaped after the two users of the brief.
 var mixes = map[string][]Kind{
 	"kyushu": {
-		{name: "browse", profile: "stale", share: 0.86, run: readOne},
-		{name: "check", profile: "fresh", share: 0.05, run: readOne},
-		{name: "correction", profile: "never", marked: true, share: 0.04, run: writeOne},
-		{name: "order", profile: "never", marked: true, share: 0.05, run: readAndCommit},
+		{name: "browse", profile: profile.Stale, share: 0.86, run: readOne},
+		{name: "check", profile: profile.Fresh, share: 0.05, run: readOne},
+		{name: "correction", profile: profile.Never, marked: true, share: 0.04, run: writeOne},
+		{name: "order", profile: profile.Never, marked: true, share: 0.05, run: readAndCommit},
 	},
 	"levant": {
-		{name: "portal", profile: "stale", share: 0.60, run: readOne},
-		{name: "check", profile: "fresh", share: 0.15, run: readOne},
-		{name: "requisition", profile: "fresh", share: 0.12, run: writeOne},
-		{name: "signature", profile: "never", marked: true, share: 0.13, run: readAndCommit},
+		{name: "portal", profile: profile.Stale, share: 0.60, run: readOne},
+		{name: "check", profile: profile.Fresh, share: 0.15, run: readOne},
+		{name: "requisition", profile: profile.Fresh, share: 0.12, run: writeOne},
+		{name: "signature", profile: profile.Never, marked: true, share: 0.13, run: readAndCommit},
 	},
 }
 
@@ -106,6 +107,9 @@
 	})
 }
 
+// reportKind is the name of the long reports.
+const reportKind = "report"
+
 // poolKey names one of the runner's connection pools.
 type poolKey struct{ entry, database, profile string }
 
@@ -167,13 +171,13 @@
 }
 
 func (r *Runner) openPools(ctx context.Context, kinds []Kind) error {
-	profiles := map[string]bool{"report": true}
+	names := map[string]bool{profile.Report: true}
 	for _, k := range kinds {
-		profiles[k.profile] = true
+		names[k.profile] = true
 	}
 	for _, entry := range r.options.Entry {
 		for _, database := range r.options.Database {
-			for name := range profiles {
+			for name := range names {
 				config, err := pgxpool.ParseConfig(fmt.Sprintf(
 					"postgres://%s@%s/%s?sslmode=disable&pool_max_conns=%d&pool_min_conns=2", r.options.User, entry, database,
 					poolSize))
@@ -203,7 +207,7 @@
 // setUp creates the tables and waits until the replicas hold them.
 func (r *Runner) setUp(ctx context.Context) error {
 	for _, database := range r.options.Database {
-		pool := r.pools[poolKey{r.options.Entry[0], database, "fresh"}]
+		pool := r.pools[poolKey{r.options.Entry[0], database, profile.Fresh}]
 		fill := fmt.Sprintf("INSERT INTO item WITH RECURSIVE n(i) AS (SELECT 0 UNION ALL SELECT i + 1 FROM n WHERE i < %d) "+
 			"SELECT i, 'item ' || i, 0 FROM n", rows-1)
 		create := "CREATE TABLE IF NOT EXISTS item (id INTEGER PRIMARY KEY, value TEXT, count INTEGER)"
@@ -287,9 +291,9 @@
 	for time.Now().Before(endAt) && ctx.Err() == nil {
 		startedAt := time.Now()
 		_, phase := r.rate(startedAt.Sub(r.startedAt))
-		_, err := r.pools[poolKey{entry, database, "report"}].Exec(ctx,
+		_, err := r.pools[poolKey{entry, database, profile.Report}].Exec(ctx,
 			fmt.Sprintf("SELECT pg_sleep(%.3f), count(*) FROM item", r.options.ReportFor.Seconds()))
-		r.count("report", phase, time.Since(startedAt), err)
+		r.count(reportKind, phase, time.Since(startedAt), err)
 		if err != nil {
 			time.Sleep(reportPause)
 		}
@@ -333,5 +337,7 @@
 	} else {
 		_ = t.refusals.RecordValue(latency.Microseconds())
 	}
-	r.series = append(r.series, point{at: time.Since(r.startedAt), latency: latency, failed: err != nil, long: kind == "report"})
+	r.series = append(r.series, point{
+		at: time.Since(r.startedAt), latency: latency, failed: err != nil, long: kind == reportKind,
+	})
 }
--- a/load/report.go
+++ b/load/report.go
@@ -13,6 +13,8 @@
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
+
+	"citronusher.example/citronusher"
 )
 
 // point is one request in the picture.
@@ -63,8 +65,8 @@
 		report.Phases[phase] = map[string]KindReport{}
 		for name, t := range kinds {
 			report.Phases[phase][name] = t.report()
-			if name != "report" {
-				report.Served[phase] += float64(t.outcomes["ran"]) / third
+			if name != reportKind {
+				report.Served[phase] += float64(t.outcomes[citronusher.Ran.String()]) / third
 			}
 		}
 	}
--- a/peer/client.go
+++ b/peer/client.go
@@ -34,9 +34,6 @@
 	maxBody     = 64 << 20 // bytes of one message between daemons
 )
 
-// Dial opens a connection to a peer.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
-
 // dialError marks a call that never left this daemon.
 type dialError struct{ cause error }
 
@@ -54,11 +51,9 @@
 	peers map[string]*Peer
 }
 
-// NewClient returns a client that signs in with key. config is nil for plain TCP; dial is nil for the usual dialer.
-func NewClient(key string, config *tls.Config, dial Dial, clock citronusher.Clock) *Client {
-	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialLimit}).DialContext
-	}
+// NewClient returns a client that signs in with key. config is nil for plain TCP.
+func NewClient(key string, config *tls.Config, clock citronusher.Clock) *Client {
+	dialer := &net.Dialer{Timeout: dialLimit}
 	var protocols http.Protocols
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(config == nil)
@@ -70,7 +65,7 @@
 		Protocols: &protocols, TLSClientConfig: config, IdleConnTimeout: idleLimit,
 		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingLimit},
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dial(ctx, network, address)
+			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, &dialError{cause: err}
 			}
--- a/position.go
+++ b/position.go
@@ -1,6 +1,9 @@
 package citronusher
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // Position is a place in a database group's replicated log: the term of the primary that wrote it and the offset in
 // log records. The zero Position precedes every record.
@@ -57,3 +60,28 @@
 
 // Start returns the offset of the last record inherited from older terms.
 func (b Branch) Start() uint64 { return b.start }
+
+// ParseBranches reads branches written as term:start pairs between commas. Its error is ErrInvalid.
+func ParseBranches(text string) ([]Branch, error) {
+	var branches []Branch
+	for _, pair := range strings.Split(text, ",") {
+		if pair == "" {
+			continue
+		}
+		var b Branch
+		if _, err := fmt.Sscanf(pair, "%d:%d", &b.term, &b.start); err != nil {
+			return nil, fmt.Errorf("%w: branch %q: %w", ErrInvalid, pair, err)
+		}
+		branches = append(branches, b)
+	}
+	return branches, nil
+}
+
+// FormatBranches writes branches as ParseBranches reads them.
+func FormatBranches(branches []Branch) string {
+	pairs := make([]string, len(branches))
+	for i, b := range branches {
+		pairs[i] = fmt.Sprintf("%d:%d", b.term, b.start)
+	}
+	return strings.Join(pairs, ",")
+}
--- a/prove/stop_test.go
+++ b/prove/stop_test.go
@@ -55,7 +55,7 @@
 // TestPlannedStopCutsNothingOff stops every daemon in turn by SIGTERM under load and starts it again.
 func TestPlannedStopCutsNothingOff(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, shape{daemons: 4})
+	c := newCluster(t, shape{daemons: 6})
 	seen := newCounter()
 	var stop atomic.Bool
 	var group errgroup.Group
--- a/standin/member/control.go
+++ b/standin/member/control.go
@@ -86,10 +86,6 @@
 func (m *Member) stateAnswer() answer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	branches := make([]string, len(m.log.branches))
-	for i, branch := range m.log.branches {
-		branches[i] = fmt.Sprintf("%d:%d", branch.Term(), branch.Start())
-	}
 	position := m.log.position()
 	now := time.Now()
 	heard, age := now.Sub(m.heardAt), now.Sub(m.freshAt)
@@ -101,7 +97,7 @@
 		rows: [][]string{{
 			string(m.role), strconv.FormatUint(m.term, 10), strconv.FormatUint(position.Term(), 10),
 			strconv.FormatUint(position.Offset(), 10), strconv.FormatInt(heard.Milliseconds(), 10),
-			strconv.FormatInt(age.Milliseconds(), 10), strings.Join(branches, ","),
+			strconv.FormatInt(age.Milliseconds(), 10), citronusher.FormatBranches(m.log.branches),
 		}},
 	}
 }
--- a/standin/member/replicate.go
+++ b/standin/member/replicate.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -111,7 +110,7 @@
 	if err != nil {
 		return fmt.Errorf("upstream offset: %w", err)
 	}
-	branches, err := ParseBranches(row[0][6])
+	branches, err := citronusher.ParseBranches(row[0][6])
 	if err != nil {
 		return err
 	}
@@ -136,22 +135,6 @@
 	return nil
 }
 
-// ParseBranches reads a list of term:start pairs.
-func ParseBranches(text string) ([]citronusher.Branch, error) {
-	var branches []citronusher.Branch
-	for _, pair := range strings.Split(text, ",") {
-		if pair == "" {
-			continue
-		}
-		var term, start uint64
-		if _, err := fmt.Sscanf(pair, "%d:%d", &term, &start); err != nil {
-			return nil, fmt.Errorf("branch %q: %w", pair, err)
-		}
-		branches = append(branches, citronusher.NewBranch(term, start))
-	}
-	return branches, nil
-}
-
 func (m *Member) ask(ctx context.Context, conn *pgconn.PgConn, query string) ([][]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
