profile, term: change a group by one member at a time, and keep what is known of the others

Cause: found by reading. A daemon that holds an older version may count majorities over other members than one that holds a newer one; after an edit of two members or more these majorities need not meet, so that two primaries could be confirmed. And an edit that added a member made every home forget the primary and break its running requests. Change: such an edit is refused; the watch keeps its observations. Not closed: a daemon that is frozen over several such edits; docs/PROOFS.md says so.

--- a/home/database.go
+++ b/home/database.go
@@ -55,7 +55,9 @@
 	d := &database{
 		set: set, name: config.Name(), ctx: ctx, cancel: cancel, rank: rank, targets: map[string]*target{},
 		changed: make(chan struct{}), kicked: make(chan struct{}), usedAt: set.config.Clock.Now(),
+		watch: term.NewWatch(nil, set.config.Policy.Limits, set.config.Clock.Now()),
 	}
+	d.watch.SetRank(max(0, rank))
 	d.confirm = newConfirmer(d)
 	d.configure(config)
 	return d
@@ -69,26 +71,20 @@
 	defer d.mu.Unlock()
 	d.config = config
 	members := map[string]profile.Member{}
-	order := make([]string, 0, len(config.Members()))
-	changed := len(d.order) != len(config.Members())
+	d.order = make([]string, 0, len(config.Members()))
 	for _, m := range config.Members() {
 		members[m.Name()] = m
-		order = append(order, m.Name())
-		if old, ok := d.targets[m.Name()]; !ok || old.address() != m.Address() {
-			changed = true
-		}
-	}
-	if changed {
-		d.order = order
-		d.watch = term.NewWatch(order, d.set.config.Policy.Limits, d.now())
-		d.watch.SetRank(max(0, d.rank))
+		d.order = append(d.order, m.Name())
 	}
+	var replaced []string
 	for name, t := range d.targets {
 		if m, ok := members[name]; !ok || m.Address() != t.address() {
+			replaced = append(replaced, name)
 			delete(d.targets, name)
 			d.group.Go(t.Close)
 		}
 	}
+	d.watch.SetMembers(d.order, replaced, d.now())
 	for name, m := range members {
 		t := d.targets[name]
 		if t == nil {
--- a/profile/database.go
+++ b/profile/database.go
@@ -124,3 +124,26 @@
 	}
 	return nil
 }
+
+// checkMemberChange refuses an edit that adds and removes more than one member. Daemons hold the versions before and after
+// an edit for a while; a majority of one must share a member with every majority of the other, or two primaries could be
+// confirmed at once.
+func checkMemberChange(old, edited Database) error {
+	addresses := map[string]string{}
+	for _, m := range old.members {
+		addresses[m.Name()] = m.Address()
+	}
+	changes := 0
+	for _, m := range edited.members {
+		if addresses[m.Name()] != m.Address() {
+			changes++
+		} else {
+			delete(addresses, m.Name())
+		}
+	}
+	changes += len(addresses)
+	if changes > 1 {
+		return invalid(old.name+".members", fmt.Sprintf("%d changes", changes), "one member added or removed in an edit")
+	}
+	return nil
+}
--- a/profile/document.go
+++ b/profile/document.go
@@ -130,7 +130,11 @@
 	case PartProfile:
 		err = edit(next.profiles, name, body, newProfile)
 	case PartTarget:
+		old, existed := next.databases[name]
 		err = edit(next.databases, name, body, newDatabase)
+		if edited, ok := next.databases[name]; err == nil && existed && ok {
+			err = checkMemberChange(old, edited)
+		}
 	default:
 		err = invalid("part", part, PartProfile+", "+PartTarget)
 	}
--- a/term/term_test.go
+++ b/term/term_test.go
@@ -43,6 +43,8 @@
 			s.watch.Fail(fields[1], true)
 		case "leaving":
 			s.watch.SetLeaving(fields[1], true, at(s.now))
+		case "members":
+			s.watch.SetMembers(fields[1:], nil, at(s.now))
 		case "rank":
 			var rank int
 			_, _ = fmt.Sscan(fields[1], &rank)
--- a/term/watch.go
+++ b/term/watch.go
@@ -5,6 +5,7 @@
 package term
 
 import (
+	"slices"
 	"time"
 
 	"citronusher.example/citronusher"
@@ -82,6 +83,19 @@
 	return w
 }
 
+// SetMembers changes the group's members at now. What is known of members that stay is kept; those in replaced moved to
+// another address and are unknown again.
+func (w *Watch) SetMembers(members, replaced []string, now time.Time) {
+	kept := map[string]*observation{}
+	for _, name := range members {
+		kept[name] = w.members[name]
+		if kept[name] == nil || slices.Contains(replaced, name) {
+			kept[name] = &observation{okAt: now}
+		}
+	}
+	w.members, w.order = kept, members
+}
+
 // SetRank sets the home's place in the order of the database's homes, which counts from 0.
 func (w *Watch) SetRank(rank int) { w.rank = rank }
 
