--- a/load/load.go
+++ b/load/load.go
@@ -48,6 +48,7 @@
 	ReportFor time.Duration `default:"2s" help:"Length of a long report."`
 	Seed      uint64        `default:"1" help:"Seed of arrivals and kinds."`
 	Setup     bool          `help:"Create and fill the tables first."`
+	Useful    time.Duration `default:"1s" help:"A request that ran within this time counts as useful."`
 	Out       string        `help:"Prefix of the report's files: PREFIX.json and PREFIX.svg."`
 }
 
@@ -129,6 +130,7 @@
 type tally struct {
 	outcomes  map[string]int
 	reasons   map[string]int
+	useful    int                     // ran within the useful time
 	latencies *hdrhistogram.Histogram // of requests that ran, from their arrival time, in microseconds
 	refusals  *hdrhistogram.Histogram // of requests that did not run
 }
@@ -334,6 +336,9 @@
 	}
 	if err == nil {
 		_ = t.latencies.RecordValue(latency.Microseconds())
+		if latency <= r.options.Useful {
+			t.useful++
+		}
 	} else {
 		_ = t.refusals.RecordValue(latency.Microseconds())
 	}
--- a/load/report.go
+++ b/load/report.go
@@ -30,6 +30,7 @@
 	Options Options                         `json:"options"`
 	Phases  map[Phase]map[string]KindReport `json:"phases"`
 	Served  map[Phase]float64               `json:"served"` // requests that ran, a second, reports left out
+	Useful  map[Phase]float64               `json:"useful"` // the same, within the useful time
 	Metrics map[string]int64                `json:"metrics"`
 	Share   float64                         `json:"replicashare"` // of the reads that the profile lets replicas serve
 	series  []point
@@ -57,6 +58,7 @@
 	defer r.mu.Unlock()
 	report := Report{
 		Options: r.options, Phases: map[Phase]map[string]KindReport{}, Served: map[Phase]float64{},
+		Useful:  map[Phase]float64{},
 		Metrics: map[string]int64{}, series: r.series,
 	}
 	report.Options.Password = ""
@@ -67,6 +69,7 @@
 			report.Phases[phase][name] = t.report()
 			if name != reportKind {
 				report.Served[phase] += float64(t.outcomes[citronusher.Ran.String()]) / third
+				report.Useful[phase] += float64(t.useful) / third
 			}
 		}
 	}
@@ -121,7 +124,8 @@
 func (r Report) Summary() []string {
 	lines := []string{fmt.Sprintf("share of replicas: %.1f%% of the reads that the profile allows", r.Share*100)}
 	for _, phase := range []Phase{Calm, Crest, After} {
-		lines = append(lines, fmt.Sprintf("%s: %.0f served a second", phase, r.Served[phase]))
+		lines = append(lines, fmt.Sprintf("%s: %.0f served a second, %.0f within %s", phase, r.Served[phase],
+			r.Useful[phase], r.Options.Useful))
 		for _, name := range slices.Sorted(maps.Keys(r.Phases[phase])) {
 			k := r.Phases[phase][name]
 			lines = append(lines, fmt.Sprintf("  %-12s p50 %7.1f ms  p99 %7.1f ms  max %7.1f ms  refused within %.0f ms  %v %v",
