home: a marked exchange that commits by itself ends with a true outcome

Cause: found by reading. When the connection broke in a marked exchange that holds a COMMIT of its own, the home said that its commit was not sent; and its success was not confirmed. Change: the connection's own judgement stands, and whatever committed is confirmed.

--- a/home/holder.go
+++ b/home/holder.go
@@ -34,3 +34,6 @@
 	h.held = h.held[:0]
 	return err
 }
+
+// discard drops what is held.
+func (h *holder) discard() { h.held = h.held[:0] }
--- a/home/marker.go
+++ b/home/marker.go
@@ -105,25 +105,37 @@
 	}
 	answer, err := w.conn.Run(ctx, request.Exchange, hold.write)
 	if err != nil {
-		return citronusher.Result{}, w.notCommitted(err)
+		return citronusher.Result{}, err
 	}
-	if answer.Failed != "" || answer.Status != pg.StatusActive {
+	// The exchange may have ended the transaction by a COMMIT of its own; the marker then went with it.
+	if answer.Failed != "" && answer.Status != pg.StatusIdle {
 		_, _, _ = w.conn.Query(ctx, "ROLLBACK")
 		return citronusher.Result{Status: pg.StatusIdle, Failed: answer.Failed}, w.deliver(hold)
 	}
-	update := fmt.Sprintf("UPDATE citronusher_marker SET tag = %s WHERE id = %s; COMMIT", quote(answer.Tag),
-		quote(request.ID))
-	if _, commit, err := w.conn.Query(ctx, update); err != nil {
-		return citronusher.Result{}, err
-	} else if commit.Failed != "" {
-		return citronusher.Result{}, w.rolledBack(ctx, commit)
+	if answer.Status == pg.StatusActive {
+		if err := w.commitMarker(ctx, request.ID, answer.Tag); err != nil {
+			return citronusher.Result{}, err
+		}
 	}
 	position, err := w.confirmed(ctx)
 	if err != nil {
 		return citronusher.Result{}, err
 	}
 	w.prune(ctx)
-	return citronusher.Result{Status: pg.StatusIdle, Position: position}, w.deliver(hold)
+	return citronusher.Result{Status: pg.StatusIdle, Position: position, Failed: answer.Failed}, w.deliver(hold)
+}
+
+// commitMarker records the command tag and commits.
+func (w *work) commitMarker(ctx context.Context, id, tag string) error {
+	update := fmt.Sprintf("UPDATE citronusher_marker SET tag = %s WHERE id = %s; COMMIT", quote(tag), quote(id))
+	_, answer, err := w.conn.Query(ctx, update)
+	if err != nil {
+		return err
+	}
+	if answer.Failed != "" {
+		return w.rolledBack(ctx, answer)
+	}
+	return nil
 }
 
 // prune drops old markers now and then. Its failure is left to the next time.
@@ -216,7 +228,7 @@
 	if _, _, err := w.conn.Query(ctx, "ROLLBACK"); err != nil {
 		return citronusher.Result{}, w.unsure(err)
 	}
-	hold.held = hold.held[:0]
+	hold.discard()
 	exchange := withoutExecute(request.Exchange, tag)
 	if _, err := w.conn.Run(ctx, exchange, hold.write); err != nil {
 		return citronusher.Result{}, w.unsure(err)
--- a/home/work.go
+++ b/home/work.go
@@ -75,33 +75,22 @@
 		return result, false, nil
 	}
 	answer, err := w.runOn(ctx, t, request, hold)
-	failure := citronusher.AsFailure(err)
-	switch {
-	case err != nil && failure.Outcome() == citronusher.NotRun && !hold.streamed:
-		w.release()
-		if failure.Reason() == citronusher.ReasonConnect || failure.Reason() == citronusher.ReasonBroken {
+	if err != nil {
+		failure := citronusher.AsFailure(err)
+		if lostTarget(failure) {
 			t.avoid()
 		}
-		w.database.set.config.Meter.Retried(failure.Reason())
-		hold.held = hold.held[:0]
-		return result, ctx.Err() != nil, err
-	case err != nil:
-		w.release()
-		return result, true, err
-	case answer.Failed == pg.CodeReadOnly && !hold.streamed && answer.Status == pg.StatusIdle && !request.Exchange.Partial:
-		w.release()
-		w.database.set.config.Meter.Retried(citronusher.ReasonReplica)
-		hold.held = hold.held[:0]
+		fallBack := failure.Outcome() == citronusher.NotRun && !hold.streamed && ctx.Err() == nil
+		w.leaveReplica(hold, fallBack, failure.Reason())
+		return result, !fallBack, err
+	}
+	if answer.Failed == pg.CodeReadOnly && !hold.streamed && answer.Status == pg.StatusIdle && !request.Exchange.Partial {
+		w.leaveReplica(hold, true, citronusher.ReasonReplica)
 		return result, false, nil
 	}
 	if err := w.recheck(request, t); err != nil {
-		w.release()
-		if hold.streamed {
-			return result, true, err
-		}
-		w.database.set.config.Meter.Retried(citronusher.ReasonReplica)
-		hold.held = hold.held[:0]
-		return result, false, nil
+		w.leaveReplica(hold, !hold.streamed, citronusher.ReasonReplica)
+		return result, hold.streamed, err
 	}
 	w.replica = true
 	w.database.set.config.Meter.Replica().Inc(1)
@@ -113,6 +102,21 @@
 	return result, true, w.deliver(hold)
 }
 
+// leaveReplica gives the replica's connection back. When the primary runs the exchange instead, the answer so far is
+// dropped.
+func (w *work) leaveReplica(hold *holder, fallBack bool, reason citronusher.Reason) {
+	w.release()
+	if fallBack {
+		w.database.set.config.Meter.Retried(reason)
+		hold.discard()
+	}
+}
+
+// lostTarget reports whether a failure suggests that the target's process or machine is gone.
+func lostTarget(f *citronusher.Failure) bool {
+	return f.Reason() == citronusher.ReasonConnect || f.Reason() == citronusher.ReasonBroken
+}
+
 // recheck makes sure, for a session that has a position, that the replica still was at the term and past the position when
 // it answered. A promotion that this home does not know yet may have cut the replica's log back since its last probe.
 func (w *work) recheck(request citronusher.Request, t *target) error {
@@ -179,8 +183,7 @@
 	answer, err := w.runOn(ctx, t, request, hold)
 	if err != nil {
 		w.release()
-		if reason := citronusher.AsFailure(err).Reason(); reason == citronusher.ReasonConnect ||
-			reason == citronusher.ReasonBroken {
+		if lostTarget(citronusher.AsFailure(err)) {
 			d.kick() // the primary may be lost
 		}
 		return citronusher.Result{}, err
--- a/prove/once_test.go
+++ b/prove/once_test.go
@@ -150,11 +150,21 @@
 	if err := order(c, 0, 1); err != nil {
 		t.Errorf("the order whose answer was lost: %v", err)
 	}
+	// A statement that commits by itself, with its answer lost, and its repeat.
+	c.fault(c.primary(), "mute=1")
+	conn := c.mustDial(0, "-c citronusher.profile=never")
+	for range 2 {
+		for _, sql := range []string{"SET citronusher.request = 'order-3'", "INSERT INTO stock VALUES (3, 1); COMMIT"} {
+			if _, err := conn.Exec(context.Background(), sql); err != nil {
+				t.Errorf("%s: %v", sql, err)
+			}
+		}
+	}
 	// The same loss without an identity stays unknown.
 	c.fault(c.primary(), "mute=1")
 	err := c.exec(0, "", "INSERT INTO stock VALUES (2, 1)")
 	if outcomeOf(err) != unknown || sqlState(err) != "08007" {
 		t.Errorf("the unmarked insert whose answer was lost: %v", err)
 	}
-	checkOrders(t, c, map[int]outcome{0: ran, 1: ran, 2: unknown})
+	checkOrders(t, c, map[int]outcome{0: ran, 1: ran, 2: unknown, 3: ran})
 }
