--- a/spread/spread.go
+++ b/spread/spread.go
@@ -1,23 +1,26 @@
 // Package spread keeps the configuration document: it accepts edits by conditional writes, spreads versions between the
 // daemons, and never lowers a version.
 //
-// A version is announced to a few random peers, which pass it on; in addition each daemon compares versions with one
-// random peer at a short interval and reads one small row of the table at a longer one.
+// A version is announced to a few random peers, which pass it on; in addition each daemon compares versions with one of
+// its neighbours at a short interval and reads one small row of the table at a longer one.
 package spread
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill"
 	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/ThreeDotsLabs/watermill/pubsub/gochannel"
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	"citronusher.example/citronusher"
@@ -31,6 +34,7 @@
 const (
 	fanout          = 3
 	compareInterval = 2 * time.Second
+	neighbours      = 8 // peers that a daemon compares versions with
 	pollInterval    = 5 * time.Second
 	startPeers      = 8 // peers that a starting daemon asks
 	bufferSize      = 256
@@ -247,14 +251,23 @@
 	return nil
 }
 
-// compareRandom compares versions with one random peer.
+// compareRandom compares versions with one of the neighbours.
 func (s *Spreader) compareRandom() {
-	peers := s.config.Peers()
+	peers := neighboursOf(s.config.Address, s.config.Peers())
 	if len(peers) > 0 {
 		_ = s.compare(s.ctx, peers[rand.IntN(len(peers))])
 	}
 }
 
+// neighboursOf picks the peers that the daemon at address compares versions with. They are few and stay the same while the
+// instances do, so that the connections to them are kept; every daemon has others, so that versions reach all.
+func neighboursOf(address string, peers []string) []string {
+	slices.SortFunc(peers, func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(address+" "+a), xxhash.Sum64String(address+" "+b))
+	})
+	return peers[:min(neighbours, len(peers))]
+}
+
 // compare tells a peer the version in force and fetches the peer's when that is newer.
 func (s *Spreader) compare(ctx context.Context, address string) error {
 	version := s.Document().Version()
--- a/spread/store_test.go
+++ b/spread/store_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"sync"
 	"testing"
 
@@ -166,3 +168,30 @@
 		handle([]byte("x"))
 	}
 }
+
+// TestNeighboursReachEveryone follows the neighbours of many daemons: from any one a version reaches all, in few steps.
+func TestNeighboursReachEveryone(t *testing.T) {
+	const count, most = 830, 6
+	all := make([]string, count)
+	for i := range all {
+		all[i] = fmt.Sprintf("10.0.%d.%d:7071", i/200, i%200)
+	}
+	reached := map[string]bool{all[0]: true}
+	edge := []string{all[0]}
+	steps := 0
+	for ; len(edge) > 0; steps++ {
+		var following []string
+		for _, address := range edge {
+			for _, n := range neighboursOf(address, slices.Clone(all)) {
+				if !reached[n] {
+					reached[n] = true
+					following = append(following, n)
+				}
+			}
+		}
+		edge = following
+	}
+	if len(reached) != count || steps > most {
+		t.Errorf("%d of %d daemons in %d steps", len(reached), count, steps)
+	}
+}
