home: a budget for probes

Cause: rendezvous hashing of 1,300 databases with three homes over 830 daemons gives one daemon 14 homes, 7 of them first (mean 4.7; BenchmarkSpread); its probes alone would take about 5.7 KB/s of 3. Weighed: hashing with bounded loads moves more homes at each change of the instances; fewer probes for all lengthen every failover gap. Change: a daemon stretches its intervals when its databases ask for more than 14 probes a second, at the worst by 3.5, so that it probes a primary every 1.1 s (TestProbesStayWithinTheirBudget).

--- a/home/probe.go
+++ b/home/probe.go
@@ -18,8 +18,22 @@
 	retryInterval   = 100 * time.Millisecond // after an unanswered probe
 	otherHomes      = 3                      // factor for homes that are not the first
 	orderTimeout    = 1 * time.Second
+	probeBudget     = 14.0 // probes a second of one daemon, so that control stays within its bytes
 )
 
+// probeRate returns how many probes a second a database of so many members asks of its home of the given rank.
+func probeRate(rank, members int) float64 {
+	rate := 1/primaryInterval.Seconds() + float64(members-1)/replicaInterval.Seconds()
+	if rank != 0 {
+		rate /= otherHomes
+	}
+	return rate
+}
+
+// slowdown returns the factor by which a daemon whose databases ask for so many probes a second stretches its intervals.
+// Hashing makes a few daemons home of many databases; these notice a lost primary a little later.
+func slowdown(rate float64) float64 { return max(1, rate/probeBudget) }
+
 // probeLoop probes one member until its target or the database closes.
 func (d *database) probeLoop(t *target) {
 	for {
@@ -56,7 +70,7 @@
 	if d.rank != 0 {
 		interval *= otherHomes
 	}
-	return interval
+	return time.Duration(float64(interval) * slowdown(d.set.probes.Load().(float64)))
 }
 
 func (d *database) probe(t *target) {
--- a/home/set.go
+++ b/home/set.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"citronusher.example/citronusher"
@@ -63,6 +64,7 @@
 // Set holds the open databases of one daemon. It implements citronusher.Home.
 type Set struct {
 	config Config
+	probes atomic.Value // float64: the probes a second that the homed databases ask for
 
 	mu        sync.Mutex
 	document  profile.Document
@@ -74,7 +76,9 @@
 
 // New returns a set without databases.
 func New(config Config) *Set {
-	return &Set{config: config, document: profile.New(), ranks: map[string]int{}, databases: map[string]*database{}}
+	s := &Set{config: config, document: profile.New(), ranks: map[string]int{}, databases: map[string]*database{}}
+	s.probes.Store(0.0)
+	return s
 }
 
 // Apply puts a document in force.
@@ -99,6 +103,13 @@
 	s.mu.Lock()
 	s.ranks = ranks
 	s.instances = instances
+	rate := 0.0
+	for name, rank := range ranks {
+		if config, ok := s.document.Database(name); ok {
+			rate += probeRate(rank, len(config.Members()))
+		}
+	}
+	s.probes.Store(rate)
 	var retired []*database
 	for name, d := range s.databases {
 		rank, ok := ranks[name]
