peer: fewer pings on idle connections

Cause: BenchmarkControl showed 87, 128, 209 and 376 B/s between peers with 6, 12, 24 and 48 daemons: every connection that a start-up notice had opened was pinged every 5 s for 90 s, which grows with the daemons. Change: pings after 20 s of silence, idle connections close after 45 s. A silent home is noticed by the request's deadline in any case.

--- a/peer/client.go
+++ b/peer/client.go
@@ -26,8 +26,8 @@
 const (
 	dialLimit   = 500 * time.Millisecond
 	callLimit   = 1 * time.Second  // for a notice or a document
-	idleLimit   = 90 * time.Second // after which an unused connection to a peer is closed
-	pingAfter   = 5 * time.Second  // of silence on a connection
+	idleLimit   = 45 * time.Second // after which an unused connection to a peer is closed
+	pingAfter   = 20 * time.Second // of silence on a connection
 	pingLimit   = 1 * time.Second
 	cancelGrace = 2 * time.Second // for a home to answer a cancelled exchange
 	maxStreams  = 100_000
