--- a/prove/capacity_test.go
+++ b/prove/capacity_test.go
@@ -21,7 +21,8 @@
 	ticksPerSecond = 100 // of the processor times in /proc
 	kilobyte       = 1024
 	observeFor     = 10 * time.Second
-	perDaemon      = 1300.0 / 830 // databases for each daemon at the target's size
+	settleFor      = 60 * time.Second // for the connections of the start to become idle and close
+	perDaemon      = 1300.0 / 830     // databases for each daemon at the target's size
 )
 
 // cpu returns the processor seconds that a process has used.
@@ -76,7 +77,7 @@
 			c := newCluster(b, shape{
 				daemons: daemons, databases: int(float64(daemons) * perDaemon), homes: 3, relays: r, connections: 100_000,
 			})
-			time.Sleep(observeFor) // connections of the start become idle and close
+			time.Sleep(settleFor)
 			before := map[string]int64{}
 			for _, role := range []string{"target", "peer", "platform"} {
 				before[role] = r.bytes(role)
