home: start waiting requests also when none ends

Cause: found by reading. Short requests that run past 500 ms make room for others, but the queue looked for waiting ones only when a request ended; behind unannounced long work a short request could wait to its deadline.

--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -51,6 +51,11 @@
 		for _, t := range expired {
 			fmt.Fprintf(&s.out, "%d: %s expired\n", s.now, s.names[t])
 		}
+	case "next":
+		started, _ := s.queue.Next(at(s.now))
+		for _, t := range started {
+			fmt.Fprintf(&s.out, "%d: %s runs\n", s.now, s.names[t])
+		}
 	case "leave":
 		fmt.Fprintf(&s.out, "%d: %s left %t\n", s.now, fields[1], s.queue.Leave(s.tickets[fields[1]]))
 	}
--- a/home/probe.go
+++ b/home/probe.go
@@ -39,6 +39,7 @@
 	for {
 		d.probe(t)
 		d.act()
+		t.pump()
 		d.mu.Lock()
 		kicked := d.kicked
 		interval := d.interval(t)
--- a/home/target.go
+++ b/home/target.go
@@ -115,6 +115,7 @@
 	}
 	wait := make(chan error, 1)
 	t.waits[ticket] = wait
+	t.startWaiting(now)
 	t.mu.Unlock()
 	defer func() {
 		t.database.set.config.Meter.QueueWait().Update(t.database.now().Sub(now).Microseconds())
@@ -144,6 +145,25 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	start, expired := t.queue.Finish(ticket, t.database.now())
+	t.signalAll(start, expired)
+}
+
+// pump starts waiting requests that running ones made room for by getting old. Nothing else would do so while no request
+// ends.
+func (t *target) pump() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.startWaiting(t.database.now())
+}
+
+// startWaiting starts waiting requests while there is room. The caller holds mu.
+func (t *target) startWaiting(now time.Time) {
+	start, expired := t.queue.Next(now)
+	t.signalAll(start, expired)
+}
+
+// signalAll answers the requests that left the queue. The caller holds mu.
+func (t *target) signalAll(start, expired []*admit.Ticket) {
 	for _, next := range start {
 		t.signal(next, nil)
 	}
