--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -82,26 +82,22 @@
 
 type options struct {
 	unconfirmed bool
-	clock       citronusher.Clock
 }
 
-// WithClock replaces the machine's clock.
-func WithClock(clock citronusher.Clock) Option { return func(o *options) { o.clock = clock } }
-
 // WithoutConfirmation acknowledges commits unconfirmed, for proofs that show what confirmation prevents.
 func WithoutConfirmation() Option { return func(o *options) { o.unconfirmed = true } }
 
 // New starts a daemon. It becomes ready in the background, once it has a configuration.
 func New(s settings.Settings, logger *slog.Logger, opts ...Option) (*Daemon, error) {
-	o := options{clock: citronusher.SystemClock{}}
+	var o options
 	for _, option := range opts {
 		option(&o)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
-		settings: s, logger: logger.With("instance", s.Name()), clock: o.clock, meter: meter.New(), ctx: ctx,
+		settings: s, logger: logger.With("instance", s.Name()), clock: citronusher.SystemClock{}, meter: meter.New(), ctx: ctx,
 		cancel: cancel, view: member.NewView(), homed: map[string][]citronusher.Instance{},
-		epoch: uint64(o.clock.Now().UnixMilli()), //nolint:gosec // after 1970
+		epoch: uint64(time.Now().UnixMilli()), //nolint:gosec // after 1970
 		asked: make(chan struct{}), changed: make(chan struct{}, 1),
 		list: list.New(s.List()),
 	}
--- a/prove/once_test.go
+++ b/prove/once_test.go
@@ -19,8 +19,8 @@
 	return ""
 }
 
-// order places one stock order as a non-repeatable request with an identity.
-func order(c *cluster, entry, number int) error {
+// orderBy runs one stock order, as a non-repeatable request with an identity, on a connection of its own.
+func orderBy(c *cluster, entry, number int, run func(ctx context.Context, conn *pgx.Conn, sql string) error) error {
 	conn, err := c.dial(entry, fmt.Sprintf("-c citronusher.profile=never -c citronusher.request=order-%d", number))
 	if err != nil {
 		return err
@@ -28,31 +28,31 @@
 	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	defer cancel()
 	defer func() { _ = conn.Close(ctx) }()
-	_, err = conn.Exec(ctx, fmt.Sprintf("INSERT INTO stock (number, made) VALUES (%d, 1)", number))
-	return err
+	return run(ctx, conn, fmt.Sprintf("INSERT INTO stock (number, made) VALUES (%d, 1)", number))
+}
+
+// order places the order as one statement.
+func order(c *cluster, entry, number int) error {
+	return orderBy(c, entry, number, func(ctx context.Context, conn *pgx.Conn, sql string) error {
+		_, err := conn.Exec(ctx, sql)
+		return err
+	})
 }
 
 // orderInTransaction places the order in an explicit transaction.
 func orderInTransaction(c *cluster, entry, number int) error {
-	conn, err := c.dial(entry, fmt.Sprintf("-c citronusher.profile=never -c citronusher.request=order-%d", number))
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
-	defer cancel()
-	defer func() { _ = conn.Close(ctx) }()
-	return pgx.BeginFunc(ctx, conn, func(tx pgx.Tx) error {
-		_, err := tx.Exec(ctx, fmt.Sprintf("INSERT INTO stock (number, made) VALUES (%d, 1)", number))
-		return err
+	return orderBy(c, entry, number, func(ctx context.Context, conn *pgx.Conn, sql string) error {
+		return pgx.BeginFunc(ctx, conn, func(tx pgx.Tx) error {
+			_, err := tx.Exec(ctx, sql)
+			return err
+		})
 	})
 }
 
-// checkOrders compares what callers were told with the table: an order that ran is there once, one that never ran is
-// not there, an unknown one is there at most once.
-func checkOrders(t *testing.T, c *cluster, told map[int]outcome) {
+// countRows runs a query for pairs of a number and its count.
+func countRows(t *testing.T, c *cluster, entry int, sql string) map[int]int64 {
 	t.Helper()
-	conn := c.mustDial(0, "")
-	rows, err := conn.Query(context.Background(), "SELECT number, count(*) FROM stock GROUP BY number")
+	rows, err := c.mustDial(entry, "").Query(context.Background(), sql)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -62,6 +62,14 @@
 	if _, err := pgx.ForEachRow(rows, []any{&number, &count}, func() error { counts[number] = count; return nil }); err != nil {
 		t.Fatal(err)
 	}
+	return counts
+}
+
+// checkOrders compares what callers were told with the table: an order that ran is there once, one that never ran is
+// not there, an unknown one is there at most once.
+func checkOrders(t *testing.T, c *cluster, told map[int]outcome) {
+	t.Helper()
+	counts := countRows(t, c, 0, "SELECT number, count(*) FROM stock GROUP BY number")
 	for number, count := range counts {
 		if count > 1 {
 			t.Errorf("order %d ran %d times", number, count)
--- a/prove/transaction_test.go
+++ b/prove/transaction_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -36,7 +35,7 @@
 	defer func() { _ = conn.Close(ctx) }()
 	for _, sql := range []string{"BEGIN", fmt.Sprintf("INSERT INTO pair VALUES (%d, 1)", id)} {
 		if _, err := conn.Exec(ctx, sql); err != nil {
-			return abandoned(err)
+			return notRun // the commit was never sent
 		}
 	}
 	switch fate {
@@ -48,30 +47,16 @@
 		return notRun
 	}
 	if _, err := conn.Exec(ctx, fmt.Sprintf("INSERT INTO pair VALUES (%d, 2)", id)); err != nil {
-		return abandoned(err)
+		return notRun // the commit was never sent
 	}
 	_, err := conn.Exec(ctx, "COMMIT")
 	return outcomeOf(err)
 }
 
-// abandoned is the outcome of a transaction whose statement before the commit failed: whatever became of the statement,
-// the commit was never sent.
-func abandoned(error) outcome { return notRun }
-
 // checkPairs verifies that each transaction is there whole or not at all, as its caller was told.
 func checkPairs(t *testing.T, c *cluster, told *counter) {
 	t.Helper()
-	conn := c.mustDial(1, "")
-	rows, err := conn.Query(context.Background(), "SELECT id, count(*) FROM pair GROUP BY id")
-	if err != nil {
-		t.Fatal(err)
-	}
-	counts := map[int]int64{}
-	var id int
-	var count int64
-	if _, err := pgx.ForEachRow(rows, []any{&id, &count}, func() error { counts[id] = count; return nil }); err != nil {
-		t.Fatal(err)
-	}
+	counts := countRows(t, c, 1, "SELECT id, count(*) FROM pair GROUP BY id")
 	tally := map[outcome]int{}
 	for line := range told.values {
 		var id int
@@ -225,6 +210,6 @@
 	}
 	var count int
 	if err := conn.QueryRow(ctx, "SELECT count(*) FROM pair").Scan(&count); err != nil || count != 0 {
-		t.Errorf("%d rows, %v", count, errors.Join(err))
+		t.Errorf("%d rows, %v", count, err)
 	}
 }
