--- a/cmd/citronusherd/main.go
+++ b/cmd/citronusherd/main.go
@@ -2,16 +2,13 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 
-	"citronusher.example/citronusher/daemon"
+	"citronusher.example/citronusher/gateway"
 	"citronusher.example/citronusher/settings"
 )
 
@@ -38,19 +35,9 @@
 	if err := level.UnmarshalText([]byte(s.Log())); err != nil {
 		return fmt.Errorf("log level: %w", err)
 	}
-	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
-	d, err := daemon.New(s, logger)
-	if err != nil {
-		return err
-	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	select {
-	case <-stop:
-	case <-d.Asked():
+	options := &slog.HandlerOptions{Level: level}
+	if s.Protocol() == settings.ProtocolLine {
+		return gateway.Run(path, s, slog.New(slog.NewJSONHandler(os.Stdout, options)))
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), s.Drain())
-	defer cancel()
-	d.Drain(ctx)
-	return d.Close()
+	return runPostgres(s, slog.New(slog.NewJSONHandler(os.Stderr, options)))
 }
--- a/errors.go
+++ b/errors.go
@@ -55,28 +55,29 @@
 
 // The reasons for which a request is refused, retried or ends with an unknown outcome.
 const (
-	ReasonAuth     Reason = "auth"     // the credential was refused
-	ReasonInput    Reason = "input"    // the request is malformed or unsupported
-	ReasonDatabase Reason = "database" // the database is not configured
-	ReasonProfile  Reason = "profile"  // the profile is not configured
-	ReasonPrimary  Reason = "primary"  // no primary is known
-	ReasonClosed   Reason = "closed"   // a confirmation failed; writes wait for the next good round
-	ReasonLeaving  Reason = "leaving"  // the daemon or the target is stopping
-	ReasonConnect  Reason = "connect"  // no connection to the target or peer could be made
-	ReasonPeer     Reason = "peer"     // the connection to the home daemon broke
-	ReasonLimit    Reason = "limit"    // the target has no connection left
-	ReasonQueue    Reason = "queue"    // the request could not have started before its deadline
-	ReasonFull     Reason = "full"     // the queue is full
-	ReasonDeadline Reason = "deadline" // the request's deadline passed
-	ReasonBudget   Reason = "budget"   // the retry budget is spent
-	ReasonBehind   Reason = "behind"   // replicas lag too far for a copy to be confirmed in time
-	ReasonLost     Reason = "lost"     // an earlier write of the session did not survive a promotion
-	ReasonBroken   Reason = "broken"   // the target connection broke while the request ran
-	ReasonConfirm  Reason = "confirm"  // the commit could not be confirmed under an unchanged term
-	ReasonCancel   Reason = "cancel"   // the caller cancelled the request
-	ReasonReplica  Reason = "replica"  // a replica refused the statement
-	ReasonRepeat   Reason = "repeat"   // a non-repeatable request was already decided
-	ReasonGone     Reason = "gone"     // the caller's pinned target connection no longer exists
+	ReasonAuth      Reason = "auth"      // the credential was refused
+	ReasonInput     Reason = "input"     // the request is malformed or unsupported
+	ReasonDatabase  Reason = "database"  // the database is not configured
+	ReasonProfile   Reason = "profile"   // the profile is not configured
+	ReasonPrimary   Reason = "primary"   // no primary is known
+	ReasonClosed    Reason = "closed"    // a confirmation failed; writes wait for the next good round
+	ReasonLeaving   Reason = "leaving"   // the daemon or the target is stopping
+	ReasonConnect   Reason = "connect"   // no connection to the target or peer could be made
+	ReasonPeer      Reason = "peer"      // the connection to the home daemon broke
+	ReasonLimit     Reason = "limit"     // the target has no connection left
+	ReasonQueue     Reason = "queue"     // the request could not have started before its deadline
+	ReasonFull      Reason = "full"      // the queue is full
+	ReasonDeadline  Reason = "deadline"  // the request's deadline passed
+	ReasonBudget    Reason = "budget"    // the retry budget is spent
+	ReasonBehind    Reason = "behind"    // replicas lag too far for a copy to be confirmed in time
+	ReasonLost      Reason = "lost"      // an earlier write of the session did not survive a promotion
+	ReasonBroken    Reason = "broken"    // the target connection broke while the request ran
+	ReasonConfirm   Reason = "confirm"   // the commit could not be confirmed under an unchanged term
+	ReasonCancel    Reason = "cancel"    // the caller cancelled the request
+	ReasonReplica   Reason = "replica"   // a replica refused the statement
+	ReasonRepeat    Reason = "repeat"    // a non-repeatable request was already decided
+	ReasonGone      Reason = "gone"      // the caller's pinned target connection no longer exists
+	ReasonStatement Reason = "statement" // the session has not prepared the statement
 )
 
 // Reasons lists every reason, in the order in which they are documented.
@@ -85,26 +86,28 @@
 		ReasonAuth, ReasonInput, ReasonDatabase, ReasonProfile, ReasonPrimary, ReasonClosed, ReasonLeaving,
 		ReasonConnect, ReasonPeer, ReasonLimit, ReasonQueue, ReasonFull, ReasonDeadline, ReasonBudget, ReasonBehind,
 		ReasonLost, ReasonBroken, ReasonConfirm, ReasonCancel, ReasonReplica, ReasonRepeat, ReasonGone,
+		ReasonStatement,
 	}
 }
 
 // codes maps a reason to the SQLSTATE of a request that did not run for it.
 var codes = map[Reason]string{
-	ReasonAuth:     "28P01",
-	ReasonInput:    "0A000",
-	ReasonDatabase: "3D000",
-	ReasonProfile:  "22023",
-	ReasonLeaving:  "57P01",
-	ReasonLimit:    "53300",
-	ReasonQueue:    "53000",
-	ReasonFull:     "53000",
-	ReasonBudget:   "53000",
-	ReasonDeadline: "57014",
-	ReasonCancel:   "57014",
-	ReasonLost:     "UC001",
-	ReasonReplica:  "25006",
-	ReasonRepeat:   "UC002",
-	ReasonGone:     "25P02",
+	ReasonAuth:      "28P01",
+	ReasonInput:     "0A000",
+	ReasonDatabase:  "3D000",
+	ReasonProfile:   "22023",
+	ReasonLeaving:   "57P01",
+	ReasonLimit:     "53300",
+	ReasonQueue:     "53000",
+	ReasonFull:      "53000",
+	ReasonBudget:    "53000",
+	ReasonDeadline:  "57014",
+	ReasonCancel:    "57014",
+	ReasonLost:      "UC001",
+	ReasonReplica:   "25006",
+	ReasonRepeat:    "UC002",
+	ReasonGone:      "25P02",
+	ReasonStatement: "26000",
 }
 
 const (
--- a/events/events.go
+++ b/events/events.go
@@ -8,34 +8,45 @@
 
 // The events. Hundreds group them: 1 process, 2 configuration, 3 instances, 4 groups, 5 callers, 6 operators.
 const (
-	Started         Event = 101
-	Ready           Event = 102
-	Stopping        Event = 103
-	Stopped         Event = 104
-	DocumentApplied Event = 201
-	DocumentRefused Event = 202
-	PlatformDown    Event = 203
-	PlatformBack    Event = 204
-	InstanceChanged Event = 301
-	PeerFailed      Event = 302
-	HomeOpened      Event = 401
-	HomeClosed      Event = 402
-	ProbeFailed     Event = 403
-	Promoting       Event = 404
-	Promoted        Event = 405
-	PromotionFailed Event = 406
-	Following       Event = 407
-	WritesClosed    Event = 408
-	WritesOpened    Event = 409
-	TermPublished   Event = 410
-	Settled         Event = 411
-	SettleFailed    Event = 412
-	SignInRefused   Event = 501
-	CallerFailed    Event = 502
-	RequestUnknown  Event = 503
-	EditAccepted    Event = 601
-	EditRefused     Event = 602
-	DrainAsked      Event = 603
+	Started            Event = 101
+	Ready              Event = 102
+	Stopping           Event = 103
+	Stopped            Event = 104
+	DocumentApplied    Event = 201
+	DocumentRefused    Event = 202
+	PlatformDown       Event = 203
+	PlatformBack       Event = 204
+	RowIgnored         Event = 205
+	SettingsRead       Event = 206
+	SettingsRefused    Event = 207
+	InstanceChanged    Event = 301
+	PeerFailed         Event = 302
+	HomeOpened         Event = 401
+	HomeClosed         Event = 402
+	ProbeFailed        Event = 403
+	Promoting          Event = 404
+	Promoted           Event = 405
+	PromotionFailed    Event = 406
+	Following          Event = 407
+	WritesClosed       Event = 408
+	WritesOpened       Event = 409
+	TermPublished      Event = 410
+	Settled            Event = 411
+	SettleFailed       Event = 412
+	MemberFound        Event = 413
+	MemberLeaving      Event = 414
+	MemberGone         Event = 415
+	PrimaryKnown       Event = 416
+	RightClosed        Event = 417
+	MoveEnded          Event = 418
+	SignInRefused      Event = 501
+	CallerFailed       Event = 502
+	RequestUnknown     Event = 503
+	RequestFailed      Event = 504
+	TransactionExpired Event = 505
+	EditAccepted       Event = 601
+	EditRefused        Event = 602
+	DrainAsked         Event = 603
 )
 
 type entry struct {
@@ -44,34 +55,45 @@
 }
 
 var catalogue = map[Event]entry{
-	Started:         {slog.LevelInfo, "daemon started"},
-	Ready:           {slog.LevelInfo, "daemon is ready"},
-	Stopping:        {slog.LevelInfo, "daemon is stopping; running requests are finished"},
-	Stopped:         {slog.LevelInfo, "daemon stopped"},
-	DocumentApplied: {slog.LevelInfo, "configuration version is in force"},
-	DocumentRefused: {slog.LevelError, "configuration version failed its checks and is not used"},
-	PlatformDown:    {slog.LevelWarn, "platform does not answer"},
-	PlatformBack:    {slog.LevelInfo, "platform answers again"},
-	InstanceChanged: {slog.LevelInfo, "instances changed"},
-	PeerFailed:      {slog.LevelWarn, "peer does not answer; other homes are asked first"},
-	HomeOpened:      {slog.LevelInfo, "home of a database opened"},
-	HomeClosed:      {slog.LevelInfo, "home of a database closed"},
-	ProbeFailed:     {slog.LevelWarn, "member stopped answering probes"},
-	Promoting:       {slog.LevelWarn, "primary is lost; claiming a new term"},
-	Promoted:        {slog.LevelWarn, "member was promoted"},
-	PromotionFailed: {slog.LevelWarn, "promotion failed; trying again later"},
-	Following:       {slog.LevelInfo, "member was ordered to follow the primary"},
-	WritesClosed:    {slog.LevelWarn, "term could not be confirmed; writes are refused"},
-	WritesOpened:    {slog.LevelInfo, "term is confirmed again; writes are accepted"},
-	TermPublished:   {slog.LevelInfo, "term was published in the table"},
-	Settled:         {slog.LevelInfo, "outcome of a non-repeatable request was looked up"},
-	SettleFailed:    {slog.LevelWarn, "outcome of a non-repeatable request could not be looked up; trying again"},
-	SignInRefused:   {slog.LevelWarn, "caller's sign-in was refused"},
-	CallerFailed:    {slog.LevelDebug, "caller's connection failed"},
-	RequestUnknown:  {slog.LevelWarn, "request ended with an unknown outcome"},
-	EditAccepted:    {slog.LevelInfo, "operator's edit was accepted"},
-	EditRefused:     {slog.LevelWarn, "operator's edit was refused"},
-	DrainAsked:      {slog.LevelInfo, "operator asked the daemon to drain"},
+	Started:            {slog.LevelInfo, "daemon started"},
+	Ready:              {slog.LevelInfo, "daemon is ready"},
+	Stopping:           {slog.LevelInfo, "daemon is stopping; running requests are finished"},
+	Stopped:            {slog.LevelInfo, "daemon stopped"},
+	DocumentApplied:    {slog.LevelInfo, "configuration version is in force"},
+	DocumentRefused:    {slog.LevelError, "configuration version failed its checks and is not used"},
+	PlatformDown:       {slog.LevelWarn, "platform does not answer"},
+	PlatformBack:       {slog.LevelInfo, "platform answers again"},
+	RowIgnored:         {slog.LevelWarn, "row cannot be read and is left out"},
+	SettingsRead:       {slog.LevelInfo, "settings were read again"},
+	SettingsRefused:    {slog.LevelError, "settings failed their checks; the old ones stay in force"},
+	InstanceChanged:    {slog.LevelInfo, "instances changed"},
+	PeerFailed:         {slog.LevelWarn, "peer does not answer; other homes are asked first"},
+	HomeOpened:         {slog.LevelInfo, "home of a database opened"},
+	HomeClosed:         {slog.LevelInfo, "home of a database closed"},
+	ProbeFailed:        {slog.LevelWarn, "member stopped answering probes"},
+	Promoting:          {slog.LevelWarn, "primary is lost; claiming a new term"},
+	Promoted:           {slog.LevelWarn, "member was promoted"},
+	PromotionFailed:    {slog.LevelWarn, "promotion failed; trying again later"},
+	Following:          {slog.LevelInfo, "member was ordered to follow the primary"},
+	WritesClosed:       {slog.LevelWarn, "term could not be confirmed; writes are refused"},
+	WritesOpened:       {slog.LevelInfo, "term is confirmed again; writes are accepted"},
+	TermPublished:      {slog.LevelInfo, "term was published in the table"},
+	Settled:            {slog.LevelInfo, "outcome of a non-repeatable request was looked up"},
+	SettleFailed:       {slog.LevelWarn, "outcome of a non-repeatable request could not be looked up; trying again"},
+	MemberFound:        {slog.LevelInfo, "member of a group is known"},
+	MemberLeaving:      {slog.LevelInfo, "member takes no new work"},
+	MemberGone:         {slog.LevelInfo, "member is gone"},
+	PrimaryKnown:       {slog.LevelInfo, "primary is known under a term"},
+	RightClosed:        {slog.LevelInfo, "right to use the primary was closed by a newer term"},
+	MoveEnded:          {slog.LevelInfo, "promotion was given up"},
+	SignInRefused:      {slog.LevelWarn, "caller's sign-in was refused"},
+	CallerFailed:       {slog.LevelDebug, "caller's connection failed"},
+	RequestUnknown:     {slog.LevelWarn, "request ended with an unknown outcome"},
+	RequestFailed:      {slog.LevelInfo, "request failed; its caller was told so"},
+	TransactionExpired: {slog.LevelInfo, "idle transaction was rolled back"},
+	EditAccepted:       {slog.LevelInfo, "operator's edit was accepted"},
+	EditRefused:        {slog.LevelWarn, "operator's edit was refused"},
+	DrainAsked:         {slog.LevelInfo, "operator asked the daemon to drain"},
 }
 
 // All returns the numbers and texts of every event.
--- /dev/null
+++ b/follow/follow.go
@@ -0,0 +1,210 @@
+// Package follow keeps a daemon's plan, members and instances up to date with the platform's store. In an outage the last known
+// ones stay in force. A plan's version never goes back.
+package follow
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/events"
+	"citronusher.example/citronusher/meter"
+)
+
+const (
+	planPause     = 150 * time.Millisecond  // between two answers of the feed, for quick successions of changes
+	retryPause    = 300 * time.Millisecond  // after the first failure; doubled up to retryMost
+	retryMost     = 1200 * time.Millisecond // the longest pause after a failure
+	memberPause   = 2500 * time.Millisecond // between two lists of members
+	refreshPause  = 400 * time.Millisecond  // between two lists that were asked for
+	instancePause = 15 * time.Second        // between two lists of instances
+)
+
+// Config holds what following needs.
+type Config struct {
+	// Self is this daemon.
+	Self citronusher.Instance
+	// Store is what is followed.
+	Store citronusher.Store
+	// Plan receives each newer plan.
+	Plan func(citronusher.Plan)
+	// Members receives each list of members.
+	Members func([]citronusher.MemberReport)
+	// Instances receives each list of daemons.
+	Instances func([]citronusher.Instance)
+	// Logger receives the events.
+	Logger *slog.Logger
+	// Meter counts.
+	Meter *meter.Meter
+}
+
+// Follower follows the store until it is closed.
+type Follower struct {
+	config  Config
+	ctx     context.Context
+	cancel  context.CancelFunc
+	tasks   errgroup.Group
+	refresh chan struct{}
+	plan    atomic.Pointer[citronusher.Plan]
+	members atomic.Bool
+
+	mu   sync.Mutex
+	down map[string]bool // the parts that do not get answers
+}
+
+// New starts following.
+func New(config Config) *Follower {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Follower{config: config, ctx: ctx, cancel: cancel, refresh: make(chan struct{}, 1), down: map[string]bool{}}
+	f.plan.Store(&citronusher.Plan{})
+	f.tasks.Go(func() error { f.followPlan(); return nil })
+	f.tasks.Go(func() error { f.followMembers(); return nil })
+	f.tasks.Go(func() error { f.followInstances(); return nil })
+	return f
+}
+
+// Plan returns the plan in force; without routes while none is known.
+func (f *Follower) Plan() citronusher.Plan { return *f.plan.Load() }
+
+// Known reports whether a plan and a list of members are known.
+func (f *Follower) Known() bool { return f.Plan().Version > 0 && f.members.Load() }
+
+// Refresh asks for a new list of members soon.
+func (f *Follower) Refresh() {
+	select {
+	case f.refresh <- struct{}{}:
+	default:
+	}
+}
+
+// pause waits, and reports false when the follower closes.
+func (f *Follower) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-f.ctx.Done():
+		return false
+	}
+}
+
+// note logs when a part stops or begins to get answers.
+func (f *Follower) note(part string, err error) {
+	f.config.Meter.Polls().Inc(1)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	down := err != nil
+	if f.down[part] == down || f.ctx.Err() != nil {
+		return
+	}
+	f.down[part] = down
+	if down {
+		events.Log(f.config.Logger, events.PlatformDown, "part", part, "error", err)
+	} else {
+		events.Log(f.config.Logger, events.PlatformBack, "part", part)
+	}
+}
+
+func nextPause(before time.Duration) time.Duration { return min(retryMost, max(retryPause, before*2)) }
+
+func (f *Follower) followPlan() {
+	version, known, wait := uint64(0), false, time.Duration(0)
+	for f.ctx.Err() == nil {
+		plan, found := citronusher.Plan{}, true
+		var err error
+		if known {
+			plan, found, version, err = f.config.Store.AwaitPlan(f.ctx, version)
+		} else {
+			plan, version, err = f.config.Store.Plan(f.ctx)
+		}
+		f.note("plan", err)
+		switch {
+		case errors.Is(err, citronusher.ErrInvalid):
+			events.Log(f.config.Logger, events.DocumentRefused, "error", err)
+			wait = nextPause(wait)
+		case err != nil:
+			wait = nextPause(wait)
+		default:
+			known, wait = true, planPause
+			if found {
+				f.apply(plan)
+			}
+		}
+		if !f.pause(wait) {
+			return
+		}
+	}
+}
+
+// apply puts a plan in force unless it is older than the one in force.
+func (f *Follower) apply(plan citronusher.Plan) {
+	before := f.Plan().Version
+	if plan.Version <= before {
+		return
+	}
+	f.plan.Store(&plan)
+	f.config.Meter.Version().Update(int64(plan.Version)) //nolint:gosec // versions are small
+	events.Log(f.config.Logger, events.DocumentApplied, "version", plan.Version, "before", before, "routes", len(plan.Routes))
+	f.config.Plan(plan)
+}
+
+func (f *Follower) followMembers() {
+	wait := time.Duration(0)
+	for f.ctx.Err() == nil {
+		members, err := f.config.Store.Members(f.ctx)
+		f.note("members", err)
+		if err == nil {
+			wait = memberPause
+			f.config.Members(members)
+			f.members.Store(true)
+		} else {
+			wait = nextPause(wait)
+		}
+		if !f.pause(min(wait, refreshPause)) {
+			return
+		}
+		select {
+		case <-time.After(max(0, wait-refreshPause)):
+		case <-f.refresh:
+		case <-f.ctx.Done():
+		}
+	}
+}
+
+func (f *Follower) followInstances() {
+	registered, wait := false, time.Duration(0)
+	for f.ctx.Err() == nil {
+		err := error(nil)
+		if !registered {
+			err = f.config.Store.Register(f.ctx, f.config.Self)
+			registered = err == nil
+		}
+		var instances []citronusher.Instance
+		if err == nil {
+			instances, err = f.config.Store.Instances(f.ctx)
+		}
+		f.note("instances", err)
+		if err == nil {
+			wait = instancePause
+			f.config.Instances(instances)
+		} else {
+			wait = nextPause(wait)
+		}
+		if !f.pause(wait) {
+			return
+		}
+	}
+}
+
+// Close stops following and waits.
+func (f *Follower) Close() error {
+	f.cancel()
+	return f.tasks.Wait()
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,219 @@
+// Package gateway puts the parts of one daemon on the users' platform together: callers and members that speak the line
+// protocol, the store, the promotion call, readiness and metrics.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/events"
+	"citronusher.example/citronusher/follow"
+	"citronusher.example/citronusher/meter"
+	"citronusher.example/citronusher/platform/line"
+	"citronusher.example/citronusher/platform/store"
+	"citronusher.example/citronusher/proxy"
+	"citronusher.example/citronusher/settings"
+	"citronusher.example/citronusher/targets"
+)
+
+const (
+	headerLimit = 5 * time.Second
+	readyPoll   = 20 * time.Millisecond
+	readyLimit  = 4 * time.Second         // for learning the groups' primaries before becoming ready without them
+	leaveSpan   = 2300 * time.Millisecond // until no new sessions arrive after the daemon is not ready
+	forgetLimit = 300 * time.Millisecond
+	halves      = 2 // an open transaction has this part of a planned stop
+)
+
+// Gateway is one running daemon.
+type Gateway struct {
+	settings settings.Settings
+	logger   *slog.Logger
+	meter    *meter.Meter
+	client   *store.Client
+	store    *store.Store
+	follower *follow.Follower
+	targets  *targets.Set
+	proxy    *proxy.Proxy
+	health   *http.Server
+	ready    atomic.Bool
+	leaving  atomic.Bool
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tasks    errgroup.Group
+
+	mu       sync.Mutex
+}
+
+// New starts a daemon. It becomes ready in the background, once it knows a plan and the members.
+func New(s settings.Settings, logger *slog.Logger) (*Gateway, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	clock := citronusher.SystemClock{}
+	g := &Gateway{settings: s, logger: logger.With("instance", s.Name()), meter: meter.New(), ctx: ctx, cancel: cancel}
+	g.client = store.New(s.Store())
+	g.store = store.NewStore(g.client, g.logger)
+	g.targets = targets.New(targets.Config{
+		Self: s.Name(), Domain: s.Domain(), Dialer: line.NewDialer(clock), Store: g.store,
+		Promoter: store.NewPromoter(s.Promotion(), s.Name()), Refresh: g.refresh, Timer: clock, Logger: g.logger, Meter: g.meter,
+	})
+	if err := g.start(clock); err != nil {
+		return nil, errors.Join(err, g.Close())
+	}
+	events.Log(g.logger, events.Started, "entry", g.proxy.Address(), "health", s.Health())
+	g.tasks.Go(func() error { g.becomeReady(); return nil })
+	return g, nil
+}
+
+func (g *Gateway) start(clock citronusher.SystemClock) error {
+	s := g.settings
+	if err := g.serveHealth(); err != nil {
+		return err
+	}
+	var err error
+	g.proxy, err = proxy.New(proxy.Config{
+		Address: s.Entry(), Protocol: func(conn net.Conn) citronusher.Caller { return line.NewCaller(conn) },
+		Plan: g.plan, Targets: g.targets, Timer: clock, Logger: g.logger, Meter: g.meter,
+	})
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.follower = follow.New(follow.Config{
+		Self:  citronusher.NewInstance(s.Name(), s.Peer(), s.Domain(), citronusher.InstanceLive),
+		Store: g.store, Plan: g.targets.Apply, Members: g.targets.SetMembers,
+		Instances: func(list []citronusher.Instance) { g.targets.SetDaemons(len(list)) },
+		Logger:    g.logger, Meter: g.meter,
+	})
+	return nil
+}
+
+func (g *Gateway) following() *follow.Follower {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.follower
+}
+
+func (g *Gateway) plan() citronusher.Plan {
+	if f := g.following(); f != nil {
+		return f.Plan()
+	}
+	return citronusher.Plan{}
+}
+
+func (g *Gateway) refresh() {
+	if f := g.following(); f != nil {
+		f.Refresh()
+	}
+}
+
+// becomeReady waits until the plan and the members are known and, for a while, until the groups have primaries.
+func (g *Gateway) becomeReady() {
+	began := time.Now()
+	for g.ctx.Err() == nil {
+		f := g.following()
+		if f.Known() && (g.targets.Ready() || time.Since(began) > readyLimit) {
+			break
+		}
+		time.Sleep(readyPoll)
+	}
+	if g.ctx.Err() != nil || g.leaving.Load() {
+		return
+	}
+	g.ready.Store(true)
+	events.Log(g.logger, events.Ready, "version", g.plan().Version)
+}
+
+// serveHealth starts the HTTP endpoints for readiness and metrics.
+func (g *Gateway) serveHealth() error {
+	listener, err := (&net.ListenConfig{}).Listen(g.ctx, "tcp", g.settings.Health())
+	if err != nil {
+		return fmt.Errorf("listen for health checks: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !g.ready.Load() || g.leaving.Load() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ready")
+	})
+	mux.Handle("/metrics", g.meter)
+	g.health = &http.Server{Handler: mux, ReadHeaderTimeout: headerLimit}
+	g.tasks.Go(func() error {
+		if err := g.health.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return nil
+}
+
+// Reload takes new settings over. Addresses stay as they are until the next start.
+func (g *Gateway) Reload(s settings.Settings) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.settings = s
+	events.Log(g.logger, events.SettingsRead)
+}
+
+// Drain stops the daemon gracefully within span: it is not ready any more, ends sessions between requests once no new ones
+// arrive, gives open transactions half of the span, and delivers every answer.
+func (g *Gateway) Drain(span time.Duration) {
+	events.Log(g.logger, events.Stopping)
+	g.leaving.Store(true)
+	ctx, cancel := context.WithTimeout(g.ctx, span)
+	defer cancel()
+	sleep(ctx, min(leaveSpan, span/halves))
+	if err := g.proxy.StopAccepting(); err != nil {
+		events.Log(g.logger, events.CallerFailed, "error", err)
+	}
+	half, done := context.WithTimeout(ctx, max(0, span/halves-leaveSpan))
+	defer done()
+	g.proxy.Drain(half)
+	g.proxy.ExpireTransactions()
+	g.proxy.Drain(ctx)
+	forget, stop := context.WithTimeout(g.ctx, forgetLimit)
+	defer stop()
+	if err := g.store.Forget(forget, g.settings.Name()); err != nil {
+		events.Log(g.logger, events.PlatformDown, "part", "instances", "error", err)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// Close stops everything and waits. Call Drain before it for a planned stop.
+func (g *Gateway) Close() error {
+	g.cancel()
+	var errs []error
+	if g.proxy != nil {
+		errs = append(errs, g.proxy.Close())
+	}
+	if f := g.following(); f != nil {
+		errs = append(errs, f.Close())
+	}
+	errs = append(errs, g.targets.Close())
+	if g.health != nil {
+		errs = append(errs, g.health.Close())
+	}
+	errs = append(errs, g.tasks.Wait(), g.client.Close())
+	events.Log(g.logger, events.Stopped)
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/instant.go
@@ -0,0 +1,34 @@
+package citronusher
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Instant is a time on a clock that never jumps and that also runs while the machine is suspended, in nanoseconds since
+// the machine's start. Rights and leases are compared on it.
+type Instant int64
+
+// Never is later than every deadline.
+const Never = Instant(1<<63 - 1)
+
+// Add returns the instant d after i.
+func (i Instant) Add(d time.Duration) Instant { return i + Instant(d) }
+
+// Sub returns the time from o to i.
+func (i Instant) Sub(o Instant) time.Duration { return time.Duration(i - o) }
+
+// Timer gives instants.
+type Timer interface {
+	Instant() Instant
+}
+
+// Instant returns the time since the machine's start, suspended time included.
+func (SystemClock) Instant() Instant {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err) // the clock is part of every supported kernel
+	}
+	return Instant(t.Nano())
+}
--- /dev/null
+++ b/place/queue.go
@@ -0,0 +1,116 @@
+// Package place decides which waiting request goes next and to which member of its group.
+//
+// It answers the load of a wave's crest: more requests than the members' slots. Requests that can still meet their latency
+// goal go before those that cannot, then by priority, then by goal. A request that cannot start before its deadline is
+// refused. The package starts nothing and asks nobody.
+package place
+
+import (
+	"slices"
+
+	"citronusher.example/citronusher"
+)
+
+// Ticket is one waiting request.
+type Ticket struct {
+	need     Need
+	priority int
+	goal     citronusher.Instant
+	deadline citronusher.Instant
+	avoid    []string
+}
+
+// NewTicket returns the ticket of a request that needs a member as need says, meets its callers' goal when it starts before
+// goal, and must start before deadline. A lower priority goes first.
+func NewTicket(need Need, priority int, goal, deadline citronusher.Instant) *Ticket {
+	return &Ticket{need: need, priority: priority, goal: goal, deadline: deadline}
+}
+
+// Need returns what the request asks of a member.
+func (t *Ticket) Need() Need { return t.need }
+
+// Deadline returns when the request must have started.
+func (t *Ticket) Deadline() citronusher.Instant { return t.deadline }
+
+// Avoid keeps the request away from a member that has failed it, as long as another one can serve.
+func (t *Ticket) Avoid(member string) { t.avoid = append(t.avoid, member) }
+
+// Avoids reports whether the member has failed the request.
+func (t *Ticket) Avoids(member string) bool { return slices.Contains(t.avoid, member) }
+
+// before orders tickets by what goes first at now.
+func (t *Ticket) before(o *Ticket, now citronusher.Instant) int {
+	if late, otherLate := t.goal < now, o.goal < now; late != otherLate {
+		if late {
+			return 1
+		}
+		return -1
+	}
+	if t.priority != o.priority {
+		return t.priority - o.priority
+	}
+	return int(min(1, max(-1, t.goal-o.goal)))
+}
+
+// Assignment is a request with the member that it may start at.
+type Assignment struct {
+	Ticket *Ticket
+	Member string
+}
+
+// Queue holds the waiting requests of one group.
+type Queue struct {
+	tickets []*Ticket
+}
+
+// Len returns how many requests wait.
+func (q *Queue) Len() int { return len(q.tickets) }
+
+// Primary returns how many requests wait that only the primary can serve.
+func (q *Queue) Primary() int {
+	count := 0
+	for _, t := range q.tickets {
+		if t.need.Primary {
+			count++
+		}
+	}
+	return count
+}
+
+// Add puts a request into the queue.
+func (q *Queue) Add(t *Ticket) { q.tickets = append(q.tickets, t) }
+
+// Remove takes a request out. It reports false when the request is not in the queue.
+func (q *Queue) Remove(t *Ticket) bool {
+	i := slices.Index(q.tickets, t)
+	if i < 0 {
+		return false
+	}
+	q.tickets = slices.Delete(q.tickets, i, i+1)
+	return true
+}
+
+// Next takes the requests out that can start now and those whose deadline has passed. start is called for each request in
+// turn and returns the member that it starts at, after it has counted the request there.
+func (q *Queue) Next(
+	now citronusher.Instant, start func(t *Ticket) (member string, ok bool),
+) (started []Assignment, expired []*Ticket) {
+	if len(q.tickets) == 0 {
+		return nil, nil
+	}
+	slices.SortStableFunc(q.tickets, func(a, b *Ticket) int { return a.before(b, now) })
+	kept := make([]*Ticket, 0, len(q.tickets))
+	for _, t := range q.tickets {
+		if t.deadline <= now {
+			expired = append(expired, t)
+			continue
+		}
+		if member, ok := start(t); ok {
+			started = append(started, Assignment{Ticket: t, Member: member})
+			continue
+		}
+		kept = append(kept, t)
+	}
+	q.tickets = kept
+	return started, expired
+}
--- /dev/null
+++ b/proxy/proxy.go
@@ -0,0 +1,162 @@
+// Package proxy serves callers' sessions over typed statements, in whichever protocol the callers speak: it finds the route of
+// each statement, takes a connection to the right member for it, retries what did not run, and says truthfully what is known of
+// everything else.
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/meter"
+	"citronusher.example/citronusher/targets"
+)
+
+const (
+	acceptPause = 20 * time.Millisecond
+	drainPoll   = 20 * time.Millisecond
+)
+
+// Config holds what the proxy needs from its daemon.
+type Config struct {
+	// Address is the IP:PORT to listen on.
+	Address string
+	// Protocol wraps an accepted connection.
+	Protocol func(net.Conn) citronusher.Caller
+	// Plan returns the plan in force.
+	Plan func() citronusher.Plan
+	// Targets gives connections to members.
+	Targets *targets.Set
+	// Timer gives the time.
+	Timer citronusher.Timer
+	// Logger receives the events.
+	Logger *slog.Logger
+	// Meter counts.
+	Meter *meter.Meter
+}
+
+// Proxy is the listener for callers.
+type Proxy struct {
+	config   Config
+	listener net.Listener
+	tasks    errgroup.Group
+
+	mu       sync.Mutex
+	sessions map[*session]struct{}
+	draining bool
+}
+
+// New starts listening.
+func New(config Config) (*Proxy, error) {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", config.Address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for callers: %w", err)
+	}
+	p := &Proxy{config: config, listener: listener, sessions: map[*session]struct{}{}}
+	p.tasks.Go(p.accept)
+	return p, nil
+}
+
+// Address returns the IP:PORT that the proxy listens on.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+func (p *Proxy) accept() error {
+	for {
+		conn, err := p.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			time.Sleep(acceptPause) // out of file descriptors, for instance
+			continue
+		}
+		p.tasks.Go(func() error {
+			p.serve(conn)
+			return nil
+		})
+	}
+}
+
+func (p *Proxy) serve(conn net.Conn) {
+	s := newSession(p, p.config.Protocol(conn))
+	p.mu.Lock()
+	p.sessions[s] = struct{}{}
+	if p.draining {
+		s.caller.Interrupt()
+	}
+	p.mu.Unlock()
+	p.config.Meter.Callers().Inc(1)
+	s.run()
+	p.config.Meter.Callers().Dec(1)
+	p.mu.Lock()
+	delete(p.sessions, s)
+	p.mu.Unlock()
+}
+
+// StopAccepting closes the listener and ends every session as soon as it is between requests and outside a transaction.
+func (p *Proxy) StopAccepting() error {
+	err := p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.draining = true
+	for s := range p.sessions {
+		s.drain()
+	}
+	return err
+}
+
+// Drain waits until every session has ended, or until ctx ends.
+func (p *Proxy) Drain(ctx context.Context) {
+	for ctx.Err() == nil && p.count() > 0 {
+		select {
+		case <-time.After(drainPoll):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (p *Proxy) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.sessions)
+}
+
+func (p *Proxy) isDraining() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.draining
+}
+
+// ExpireTransactions rolls open transactions back, so that their sessions can end.
+func (p *Proxy) ExpireTransactions() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for s := range p.sessions {
+		s.expire()
+	}
+}
+
+// Close ends every session and waits for them.
+func (p *Proxy) Close() error {
+	err := p.listener.Close()
+	if errors.Is(err, net.ErrClosed) {
+		err = nil
+	}
+	p.mu.Lock()
+	p.draining = true
+	for s := range p.sessions {
+		s.caller.Interrupt()
+		if closeErr := s.caller.Close(); closeErr != nil && !errors.Is(closeErr, net.ErrClosed) {
+			err = errors.Join(err, closeErr)
+		}
+	}
+	p.mu.Unlock()
+	return errors.Join(err, p.tasks.Wait())
+}
--- /dev/null
+++ b/proxy/session.go
@@ -0,0 +1,206 @@
+package proxy
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/events"
+	"citronusher.example/citronusher/targets"
+)
+
+// prepared is a statement that the session has prepared.
+type prepared struct {
+	shared string // its name on member connections, the same for all sessions
+	shape  string
+	writes bool
+}
+
+// session is one caller's session.
+type session struct {
+	proxy    *Proxy
+	caller   citronusher.Caller
+	database string
+	values   map[string]string
+	prepared map[string]prepared
+	seen     citronusher.Position // of the session's last write
+
+	// mu guards the open transaction, which a timer may roll back between two statements.
+	mu    sync.Mutex
+	state citronusher.TransactionState
+	tx    transaction
+	timer *time.Timer
+	busy  bool // a statement is being served
+}
+
+// transaction is what the session's open transaction needs.
+type transaction struct {
+	route    citronusher.Route
+	readOnly bool
+	beganAt  citronusher.Instant
+	hold     *targets.Hold // nil before the first statement
+	wrote    bool
+	expired  bool
+}
+
+func newSession(p *Proxy, caller citronusher.Caller) *session {
+	return &session{proxy: p, caller: caller, values: map[string]string{}, prepared: map[string]prepared{}}
+}
+
+// run serves the session until it ends.
+func (s *session) run() {
+	err := s.serve()
+	s.end()
+	if err != nil && !errors.Is(err, citronusher.ErrClosed) {
+		events.Log(s.proxy.config.Logger, events.CallerFailed, "database", s.database, "error", err)
+	}
+	if err := s.caller.Close(); err != nil {
+		events.Log(s.proxy.config.Logger, events.CallerFailed, "database", s.database, "error", err)
+	}
+}
+
+func (s *session) serve() error {
+	if err := s.start(); err != nil {
+		return err
+	}
+	for {
+		statement, err := s.caller.Next()
+		if errors.Is(err, citronusher.ErrInvalid) {
+			return s.caller.Reject(citronusher.Refuse(citronusher.ReasonInput, "%v", err))
+		}
+		if err != nil {
+			return err
+		}
+		if err := s.one(statement); err != nil {
+			return err
+		}
+		if s.proxy.isDraining() {
+			s.drain()
+		}
+	}
+}
+
+// start answers the caller's first message.
+func (s *session) start() error {
+	database, err := s.caller.Startup()
+	if errors.Is(err, citronusher.ErrInvalid) {
+		return s.caller.Reject(citronusher.Refuse(citronusher.ReasonInput, "%v", err))
+	}
+	if err != nil {
+		return err
+	}
+	s.database = database
+	if _, ok := s.proxy.config.Plan().Routes[database]; !ok {
+		failure := unknownDatabase(database)
+		s.proxy.config.Meter.Failed(failure)
+		return s.caller.Reject(failure)
+	}
+	return s.caller.Accept()
+}
+
+func unknownDatabase(database string) *citronusher.Failure {
+	return citronusher.Refuse(citronusher.ReasonDatabase, "database %s does not exist", database)
+}
+
+// one serves one statement.
+func (s *session) one(statement citronusher.Statement) error {
+	arrived := s.proxy.config.Timer.Instant()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy = true
+	if s.timer != nil {
+		s.timer.Stop()
+		s.timer = nil
+	}
+	s.proxy.config.Meter.Requests().Inc(1)
+	answer, err := s.handle(statement, arrived)
+	s.proxy.config.Meter.Latency().Update(s.proxy.config.Timer.Instant().Sub(arrived).Microseconds())
+	s.busy = false
+	if s.state != citronusher.StateIdle && s.tx.hold != nil {
+		s.timer = time.AfterFunc(s.proxy.config.Plan().Idle, s.expireIdle)
+	}
+	return s.reply(statement, answer, err)
+}
+
+// reply tells the caller how its statement ended.
+func (s *session) reply(statement citronusher.Statement, answer *citronusher.Answer, err error) error {
+	switch {
+	case err != nil:
+		failure := citronusher.AsFailure(err)
+		s.proxy.config.Meter.Failed(failure)
+		events.Log(s.proxy.config.Logger, events.RequestFailed, "id", statement.ID, "database", s.database,
+			"outcome", failure.Outcome().String(), "reason", string(failure.Reason()), "error", failure.Message())
+		return s.caller.Refuse(failure, s.state)
+	case answer != nil:
+		return s.caller.Answer(*answer, s.state)
+	default:
+		return s.caller.Done(s.state)
+	}
+}
+
+// drain ends the session at once when it is between requests and outside a transaction.
+func (s *session) drain() {
+	if !s.mu.TryLock() {
+		return // a statement runs; the session looks again after it
+	}
+	defer s.mu.Unlock()
+	if s.state == citronusher.StateIdle && !s.busy {
+		s.caller.Interrupt()
+	}
+}
+
+// expire rolls an open transaction back between two statements. The caller is told by the answer to its next statement.
+func (s *session) expire() {
+	if !s.mu.TryLock() {
+		return
+	}
+	defer s.mu.Unlock()
+	s.rollBackIdle()
+}
+
+// expireIdle is expire for a timer.
+func (s *session) expireIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rollBackIdle()
+}
+
+// rollBackIdle gives the transaction's connection back. The caller holds mu.
+func (s *session) rollBackIdle() {
+	if s.busy || s.tx.hold == nil {
+		return
+	}
+	s.giveBack()
+	s.tx.expired = true
+	s.state = citronusher.StateFailed
+	events.Log(s.proxy.config.Logger, events.TransactionExpired, "database", s.database)
+}
+
+// end rolls an open transaction back after the caller has gone.
+func (s *session) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+	s.giveBack()
+}
+
+// giveBack rolls the open transaction back and releases its connection. The caller holds mu.
+func (s *session) giveBack() {
+	hold := s.tx.hold
+	s.tx.hold = nil
+	if hold == nil {
+		return
+	}
+	rollback := citronusher.Command{Statement: citronusher.Statement{Kind: citronusher.StatementRollback}}
+	answers, err := hold.Run(s.proxy.config.Timer.Instant().Add(rollbackLimit), rollback)
+	if err != nil || answers[0].State != citronusher.StateIdle {
+		hold.Discard()
+		return
+	}
+	hold.Release()
+}
+
+const rollbackLimit = 300 * time.Millisecond
--- /dev/null
+++ b/right/right.go
@@ -0,0 +1,73 @@
+// Package right decides whether a daemon may use a group's primary, and which positions of the primary it may rely on.
+//
+// A right is a lease of a term. It is renewed by the answer of a replica that still receives under the term: a daemon that
+// promotes another member first makes every replica stop receiving, and then waits until rights that were renewed before
+// have expired. Deadlines count from when a question was sent, on a clock that runs while a machine is suspended. The package
+// asks nobody and starts nothing.
+package right
+
+import (
+	"time"
+
+	"citronusher.example/citronusher"
+)
+
+// Span is how long a right lasts after the question that renewed it was sent.
+const Span = 900 * time.Millisecond
+
+// Verdict is what a member's report says about a right.
+type Verdict int
+
+const (
+	// Renewed means that the right lasts until its new deadline.
+	Renewed Verdict = iota
+	// Silent means that the report proves nothing.
+	Silent
+	// Superseded means that another daemon moves the primary, or has moved it.
+	Superseded
+)
+
+// Right is the lease of one term at one daemon. The zero Right is not valid.
+type Right struct {
+	term     uint64
+	deadline citronusher.Instant
+	closed   bool
+}
+
+// Begin makes r a right of term that a report has yet to renew.
+func (r *Right) Begin(term uint64) { *r = Right{term: term} }
+
+// Term returns the term that the right is for; 0 when there is none.
+func (r *Right) Term() uint64 { return r.term }
+
+// Deadline returns when the right expires.
+func (r *Right) Deadline() citronusher.Instant { return r.deadline }
+
+// Valid reports whether the primary may be used at now.
+func (r *Right) Valid(now citronusher.Instant) bool { return !r.closed && now < r.deadline }
+
+// Closed reports whether the right can never be renewed again.
+func (r *Right) Closed() bool { return r.closed }
+
+// Close gives the right up.
+func (r *Right) Close() { r.closed = true }
+
+// Report takes a replica's report that was asked for at askedAt.
+func (r *Right) Report(status citronusher.MemberStatus, askedAt citronusher.Instant) Verdict {
+	if r.closed || status.Term > r.term || status.Held > r.term {
+		r.closed = true
+		return Superseded
+	}
+	if status.Role != citronusher.RoleReplica || status.Term != r.term || r.term == 0 {
+		return Silent
+	}
+	r.deadline = max(r.deadline, askedAt.Add(Span))
+	return Renewed
+}
+
+// Extend takes a renewal that another daemon received; deadline is on this daemon's clock.
+func (r *Right) Extend(term uint64, deadline citronusher.Instant) {
+	if term == r.term && !r.closed {
+		r.deadline = max(r.deadline, deadline)
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -20,6 +20,7 @@
 type Settings struct{ fields fields }
 
 type fields struct {
+	Protocol string            `json:"protocol"`
 	Name     string            `json:"name"`
 	Domain   string            `json:"domain"`
 	Entry    listener          `json:"entry"`
@@ -61,6 +62,9 @@
 	Region  string `json:"region"`
 	Access  string `json:"access"`
 	Secret  string `json:"secret"`
+	// Store and Promotion are the IP:PORT of the metadata store and of the promotion call, for the protocol line.
+	Store     string `json:"store"`
+	Promotion string `json:"promotion"`
 }
 
 // policy turns parts of the load policy off, as baselines for measurements.
@@ -78,16 +82,24 @@
 	maxSpan      = 1 * time.Hour
 )
 
+// The protocols that a daemon speaks with callers and targets.
+const (
+	ProtocolPostgres = "postgres"
+	ProtocolLine     = "line"
+)
+
 var (
 	namePattern  = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
 	limitPattern = regexp.MustCompile(`^(gradient|aimd|fixed)$`)
 	logPattern   = regexp.MustCompile(`^(debug|info|warn|error)$`)
+
+	protocolPattern = regexp.MustCompile(`^(` + ProtocolPostgres + `|` + ProtocolLine + `)$`)
 )
 
 func defaults() fields {
 	return fields{
 		Entry: listener{Address: defaultEntry}, Peer: listener{Address: defaultPeer}, Health: "127.0.0.1:7072",
-		Log: "info", Drain: "30s", Idle: "60s", Limit: "gradient",
+		Log: "info", Drain: "30s", Idle: "60s", Limit: "gradient", Protocol: ProtocolPostgres,
 		Platform: platform{Region: "local", Access: "local", Secret: "local"},
 		Policy:   policy{Replicas: true, Queue: true, Homes: true},
 	}
@@ -129,6 +141,7 @@
 		{"domain", f.Domain, namePattern},
 		{"log", f.Log, logPattern},
 		{"limit", f.Limit, limitPattern},
+		{"protocol", f.Protocol, protocolPattern},
 	} {
 		if !c.pattern.MatchString(c.value) {
 			return invalid(c.field, c.value, c.pattern.String())
@@ -152,9 +165,24 @@
 			return invalid(field, span, fmt.Sprintf("%s to %s", minSpan, maxSpan))
 		}
 	}
+	if f.Protocol == ProtocolLine {
+		return f.checkLine()
+	}
 	return f.checkSecrets()
 }
 
+// checkLine checks what only the line protocol needs.
+func (f fields) checkLine() error {
+	for field, address := range map[string]string{
+		"platform.store": f.Platform.Store, "platform.promotion": f.Platform.Promotion,
+	} {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return invalid(field, address, "IP:PORT")
+		}
+	}
+	return nil
+}
+
 // checkSecrets checks the secrets without repeating their values.
 func (f fields) checkSecrets() error {
 	for field, key := range map[string]string{"keys.peer": f.Keys.Peer, "keys.operator": f.Keys.Operator} {
@@ -230,6 +258,15 @@
 // OperatorKey returns the credential of operators.
 func (s Settings) OperatorKey() string { return s.fields.Keys.Operator }
 
+// Protocol returns the protocol that the daemon speaks with callers and targets: ProtocolPostgres or ProtocolLine.
+func (s Settings) Protocol() string { return s.fields.Protocol }
+
+// Store returns the IP:PORT of the metadata store.
+func (s Settings) Store() string { return s.fields.Platform.Store }
+
+// Promotion returns the IP:PORT of the promotion call.
+func (s Settings) Promotion() string { return s.fields.Platform.Promotion }
+
 // Table returns the URL of the table service.
 func (s Settings) Table() string { return s.fields.Platform.Table }
 
--- /dev/null
+++ b/succession/succession.go
@@ -0,0 +1,101 @@
+// Package succession decides how a group's primary is replaced: who may do it, when, and which member follows.
+//
+// One daemon at a time holds the claim on a group, a row that the platform's store changes only under a condition. The claim's
+// token rises with each claim. The holder stops every replica from receiving, so that no right to use the old primary is
+// renewed any more, waits until the rights have expired, and orders the promotion in the first part of its claim, so that the
+// order has taken effect before anyone else can claim. The package asks nobody and starts nothing.
+package succession
+
+import (
+	"time"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/right"
+)
+
+const (
+	// ClaimSpan is how long a claim keeps other daemons from claiming.
+	ClaimSpan = 3 * time.Second
+	// orderSpan is how long after the claim's request was sent the promotion may be ordered.
+	orderSpan = 1300 * time.Millisecond
+	// effectLeast is how long the platform takes at least from an order to its effect.
+	effectLeast = 300 * time.Millisecond
+	// refusedPatience is how long a primary whose machine refuses connections is waited for.
+	refusedPatience = 50 * time.Millisecond
+	// silentPatience is how long a primary that does not answer is waited for, after its probe failed.
+	silentPatience = 100 * time.Millisecond
+	// unknownPatience is how long a primary is looked for when none is known.
+	unknownPatience = 700 * time.Millisecond
+)
+
+// Loss is what a daemon knows of a primary that it cannot use.
+type Loss struct {
+	// Since is when it was first found lost; 0 when it is not.
+	Since citronusher.Instant
+	// Refused is set when its machine refuses connections.
+	Refused bool
+	// Known is set when a primary was known before.
+	Known bool
+}
+
+// Due reports whether the loss has lasted long enough to replace the primary.
+func (l Loss) Due(now citronusher.Instant) bool {
+	patience := silentPatience
+	switch {
+	case l.Since == 0:
+		return false
+	case !l.Known:
+		patience = unknownPatience
+	case l.Refused:
+		patience = refusedPatience
+	}
+	return now >= l.Since.Add(patience)
+}
+
+// Open reports whether self may replace a claim.
+func Open(claim citronusher.Claim, self string) bool {
+	return claim.Holder == self || claim.EndMillis <= claim.StoreMillis
+}
+
+// Next returns the claim of self that may follow one that was read.
+func Next(read citronusher.Claim, self string) citronusher.Claim {
+	return citronusher.Claim{Holder: self, EndMillis: read.StoreMillis + ClaimSpan.Milliseconds()}
+}
+
+// OrderDeadline returns until when the holder of a claim whose reading was asked for at askedAt may order a promotion.
+func OrderDeadline(askedAt citronusher.Instant) citronusher.Instant { return askedAt.Add(orderSpan) }
+
+// OrderAt returns from when a promotion may be ordered after the last replica stopped receiving at heldAt: when it takes
+// effect, every right that was renewed before has expired.
+func OrderAt(heldAt citronusher.Instant) citronusher.Instant {
+	return heldAt.Add(right.Span - effectLeast)
+}
+
+// Member is a member that stopped receiving.
+type Member struct {
+	// ID names the member.
+	ID string
+	// Position is the end of the log that it received.
+	Position citronusher.Position
+	// Leaving is set for a member that takes no new work.
+	Leaving bool
+}
+
+// Winner returns the member that follows: the one that received most, of those that stay unless all leave.
+func Winner(members []Member) (string, bool) {
+	var best *Member
+	for i := range members {
+		m := &members[i]
+		switch {
+		case best == nil, best.Leaving && !m.Leaving:
+			best = m
+		case m.Leaving && !best.Leaving:
+		case best.Position.Less(m.Position), m.Position == best.Position && m.ID < best.ID:
+			best = m
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	return best.ID, true
+}
--- /dev/null
+++ b/targets/group.go
@@ -0,0 +1,233 @@
+package targets
+
+import (
+	"sync"
+	"time"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/events"
+	"citronusher.example/citronusher/place"
+	"citronusher.example/citronusher/right"
+)
+
+// Group is one database group at this daemon.
+type Group struct {
+	set  *Set
+	name string
+	done chan struct{}
+
+	mu       sync.Mutex
+	closed   bool
+	members  map[string]*member
+	right    right.Right
+	primary  string // under the right's term
+	window   right.Window
+	queue    place.Queue
+	waits    map[*place.Ticket]chan grant
+	changed  chan struct{} // closed when the right or the primary changes
+	kicked   chan struct{} // holds a token while the watch has something to do at once
+	usedAt   citronusher.Instant
+	renewAt  citronusher.Instant // when the last renewal was asked for
+	renewing bool
+	looking  bool
+	lookedAt citronusher.Instant
+	lostAt   citronusher.Instant // since when the primary is not reachable; 0 while it is
+	refused  bool                // the primary's machine refuses connections
+	moving   bool                // this daemon carries out a promotion
+	deferred citronusher.Instant // no promotion is begun before
+	highest  uint64              // the highest term that any member told
+}
+
+// grant answers a waiting request.
+type grant struct {
+	member *member
+	conn   *conn // nil when one must be opened
+	err    error
+}
+
+func newGroup(s *Set, name string) *Group {
+	return &Group{
+		set: s, name: name, done: make(chan struct{}), members: map[string]*member{}, waits: map[*place.Ticket]chan grant{},
+		changed: make(chan struct{}), kicked: make(chan struct{}, 1),
+	}
+}
+
+func (g *Group) now() citronusher.Instant { return g.set.config.Timer.Instant() }
+
+// configure takes the members' reports and divides their connections among the daemons. A member that one list lacks is kept:
+// reports expire while the platform's store is down.
+func (g *Group) configure(connections, daemons int, reports []citronusher.MemberReport) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	seen := map[string]bool{}
+	for _, report := range reports {
+		seen[report.ID] = true
+		g.takeReport(report, now)
+		g.members[report.ID].setShare(connections, daemons)
+	}
+	for id, m := range g.members {
+		if seen[id] {
+			m.missing = false
+			continue
+		}
+		if m.missing && len(reports) > 0 {
+			delete(g.members, id)
+			closeAll(m.takeAll())
+			events.Log(g.set.config.Logger, events.MemberGone, "group", g.name, "member", id)
+			continue
+		}
+		m.missing = true
+	}
+	g.dispatch(now)
+	g.kick()
+}
+
+// takeReport records one member's report. The caller holds mu.
+func (g *Group) takeReport(report citronusher.MemberReport, now citronusher.Instant) {
+	m := g.members[report.ID]
+	restarted := m != nil && (m.report.BornMillis != report.BornMillis || m.report.Address != report.Address)
+	if m == nil {
+		m = newMember(report)
+		g.members[report.ID] = m
+		events.Log(g.set.config.Logger, events.MemberFound, "group", g.name, "member", report.ID, "address", report.Address,
+			"role", string(report.Role))
+	}
+	if restarted {
+		closeAll(m.takeAll())
+		m.downUntil = 0
+	}
+	if report.Leaving && m.leavingSince == 0 {
+		m.leavingSince = now
+		events.Log(g.set.config.Logger, events.MemberLeaving, "group", g.name, "member", report.ID)
+	}
+	if !report.Leaving {
+		m.leavingSince = 0
+	}
+	m.report = report
+}
+
+func closeAll(conns []*conn) {
+	for _, c := range conns {
+		closeConn(c)
+	}
+}
+
+// closeConn closes a connection. Nothing can be done about a failure: the connection is gone either way.
+func closeConn(c *conn) {
+	if err := c.link.Close(); err != nil {
+		return
+	}
+}
+
+// kick makes the watch look at once.
+func (g *Group) kick() {
+	select {
+	case g.kicked <- struct{}{}:
+	default:
+	}
+}
+
+// wake signals a change of the right or the primary. The caller holds mu.
+func (g *Group) wake() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// dispatch starts the waiting requests that can start. The caller holds mu.
+func (g *Group) dispatch(now citronusher.Instant) {
+	started, expired := g.queue.Next(now, func(t *place.Ticket) (string, bool) {
+		chosen, ok := place.Choose(g.candidates(now, t.Need()), t.Need(), t)
+		if ok {
+			g.members[chosen.Name].busy++
+		}
+		return chosen.Name, ok
+	})
+	for _, a := range started {
+		m := g.members[a.Member]
+		g.answer(a.Ticket, grant{member: m, conn: m.takeIdle()})
+	}
+	for _, t := range expired {
+		g.answer(t, grant{err: citronusher.Refuse(citronusher.ReasonQueue, "%s", g.whyWaiting(t, now))})
+	}
+}
+
+// answer gives a waiting request its grant. The caller holds mu.
+func (g *Group) answer(t *place.Ticket, result grant) {
+	if wait, ok := g.waits[t]; ok {
+		delete(g.waits, t)
+		wait <- result
+	}
+}
+
+// whyWaiting says why a request did not start. The caller holds mu.
+func (g *Group) whyWaiting(t *place.Ticket, now citronusher.Instant) string {
+	switch {
+	case (t.Need().Primary || !t.Need().Known) && !g.right.Valid(now):
+		return "the group's primary cannot be used now; try again in a second"
+	default:
+		return "the group's members are busy; try again later"
+	}
+}
+
+// candidates describes the members for the choice. The caller holds mu.
+func (g *Group) candidates(now citronusher.Instant, need place.Need) []place.Candidate {
+	valid := g.right.Valid(now)
+	list := make([]place.Candidate, 0, len(g.members))
+	for id, m := range g.members {
+		primary := id == g.primary
+		if primary && !valid {
+			continue
+		}
+		if !primary && m.report.Role == citronusher.RolePrimary && g.primary == "" {
+			continue
+		}
+		list = append(list, m.candidate(now, need, primary, m.report.Domain == g.set.config.Domain))
+	}
+	return list
+}
+
+// Needs returns what a read of the route asks of a member, for a session that has written up to seen and a request that
+// arrived at arrived.
+func (g *Group) Needs(route citronusher.Route, seen citronusher.Position, arrived citronusher.Instant) place.Need {
+	if route.Consistency == citronusher.ConsistencyPrimary {
+		return place.Need{Primary: true}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	position, known := g.window.Since(arrived.Add(-route.Age))
+	if route.Consistency == citronusher.ConsistencySession && g.right.Term() == seen.Term() {
+		position = position.Max(seen)
+	}
+	if route.Consistency == citronusher.ConsistencySession && seen.Term() > g.right.Term() {
+		known = false
+	}
+	return place.Need{After: position, Known: known}
+}
+
+// close refuses the waiting requests and closes every connection.
+func (g *Group) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return
+	}
+	g.closed = true
+	close(g.done)
+	for t := range g.waits {
+		g.answer(t, grant{err: citronusher.Refuse(citronusher.ReasonLeaving, "the group is no longer served here")})
+	}
+	for _, m := range g.members {
+		closeAll(m.takeAll())
+	}
+	g.wake()
+}
+
+// Ready reports whether the daemon knows the group's primary.
+func (g *Group) Ready() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.primary != "" && g.right.Valid(g.now())
+}
+
+const groupTick = 50 * time.Millisecond
--- /dev/null
+++ b/targets/hold.go
@@ -0,0 +1,264 @@
+package targets
+
+import (
+	"time"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/place"
+)
+
+// Hold is a request's connection to one member. It is used by one goroutine at a time and ends with Release or Discard.
+type Hold struct {
+	group   *Group
+	member  *member
+	conn    *conn
+	primary bool
+	term    uint64
+}
+
+// Acquire waits until the request may start and returns its connection. Its error is a *Failure that did not run.
+func (g *Group) Acquire(t *place.Ticket) (*Hold, error) {
+	for {
+		result := g.wait(t)
+		if result.err != nil {
+			return nil, result.err
+		}
+		h, err := g.open(result, t)
+		if err == nil {
+			return h, nil
+		}
+		g.set.config.Meter.Retried(citronusher.AsFailure(err).Reason())
+	}
+}
+
+// wait queues the request until it is granted a member.
+func (g *Group) wait(t *place.Ticket) grant {
+	began := g.now()
+	ready := make(chan grant, 1)
+	g.mu.Lock()
+	if err := g.refusal(t, began); err != nil {
+		g.mu.Unlock()
+		return grant{err: err}
+	}
+	if t.Need().Primary || !t.Need().Known {
+		g.usedAt = began
+		if !g.right.Valid(began) {
+			g.kick()
+		}
+	}
+	g.waits[t] = ready
+	g.queue.Add(t)
+	g.dispatch(began)
+	g.mu.Unlock()
+	timer := time.NewTimer(t.Deadline().Sub(began))
+	defer timer.Stop()
+	select {
+	case result := <-ready:
+		g.set.config.Meter.QueueWait().Update(g.now().Sub(began).Microseconds())
+		return result
+	case <-timer.C:
+	}
+	g.mu.Lock()
+	now := g.now()
+	if g.queue.Remove(t) {
+		g.answer(t, grant{err: citronusher.Refuse(citronusher.ReasonQueue, "%s", g.whyWaiting(t, now))})
+	}
+	g.dispatch(now)
+	g.mu.Unlock()
+	return <-ready
+}
+
+// refusal returns why the request cannot be served at all now, so that its caller can try another daemon at once. The
+// caller holds mu.
+func (g *Group) refusal(t *place.Ticket, now citronusher.Instant) error {
+	switch {
+	case g.closed:
+		return citronusher.Refuse(citronusher.ReasonLeaving, "the group is no longer served here")
+	case t.Deadline() <= now:
+		return citronusher.Refuse(citronusher.ReasonQueue, "%s", g.whyWaiting(t, now))
+	default:
+		return nil
+	}
+}
+
+// open returns the connection of a grant, opening one when the member has no idle one.
+func (g *Group) open(result grant, t *place.Ticket) (*Hold, error) {
+	m, c := result.member, result.conn
+	if c == nil {
+		var err error
+		if c, err = g.dial(m, min(t.Deadline(), g.now().Add(dialLimit))); err != nil {
+			g.mu.Lock()
+			m.busy--
+			t.Avoid(m.report.ID)
+			g.dispatch(g.now())
+			g.mu.Unlock()
+			return nil, err
+		}
+	}
+	g.mu.Lock()
+	h := &Hold{group: g, member: m, conn: c, primary: m.report.ID == g.primary, term: g.right.Term()}
+	g.mu.Unlock()
+	if !h.primary && (t.Need().Primary || !t.Need().Known) {
+		h.Release()
+		return nil, citronusher.Refuse(citronusher.ReasonPrimary, "the primary changed while the connection was opened")
+	}
+	return h, nil
+}
+
+// dial opens a connection and notes what its failure says of the member.
+func (g *Group) dial(m *member, deadline citronusher.Instant) (*conn, error) {
+	g.mu.Lock()
+	report := m.report
+	g.mu.Unlock()
+	link, err := g.set.config.Dialer.Dial(deadline, report.Address, report.Group, report.ID)
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err == nil {
+		c := &conn{link: link, values: map[string]string{}, prepared: map[string]bool{}, idleSince: now}
+		m.heardAt = now
+		m.open[c] = struct{}{}
+		return c, nil
+	}
+	if citronusher.AsFailure(err).Reason() == citronusher.ReasonLimit {
+		m.heardAt = now
+		m.fullUntil = now.Add(fullPause)
+		return nil, err
+	}
+	g.markDown(m, now, err)
+	return nil, err
+}
+
+// Primary reports whether the connection is to the primary.
+func (h *Hold) Primary() bool { return h.primary }
+
+// Term returns the term under which the connection was given.
+func (h *Hold) Term() uint64 { return h.term }
+
+// Member names the member.
+func (h *Hold) Member() string { return h.member.report.ID }
+
+// Values returns the session values that the connection holds. The holder may change them.
+func (h *Hold) Values() map[string]string { return h.conn.values }
+
+// Prepared returns the names of the prepared statements that the connection holds. The holder may change them.
+func (h *Hold) Prepared() map[string]bool { return h.conn.prepared }
+
+// Begin reports whether the connection may begin new work now: a primary only under a valid right of its term.
+func (h *Hold) Begin() error {
+	if !h.primary {
+		return nil
+	}
+	h.group.mu.Lock()
+	defer h.group.mu.Unlock()
+	if h.group.right.Term() != h.term || !h.group.right.Valid(h.group.now()) {
+		return citronusher.Refuse(citronusher.ReasonClosed, "the right to use the primary expired")
+	}
+	return nil
+}
+
+// Run sends commands and returns their answers. The answers that arrived are returned with an error.
+func (h *Hold) Run(deadline citronusher.Instant, commands ...citronusher.Command) ([]citronusher.Answer, error) {
+	g := h.group
+	sentAt := g.now()
+	g.mu.Lock()
+	h.conn.sentAt = sentAt
+	h.member.running++
+	valid := h.primary && g.right.Term() == h.term && g.right.Valid(sentAt)
+	g.mu.Unlock()
+	answers, err := h.conn.link.Run(deadline, commands...)
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	h.conn.sentAt = 0
+	h.member.running--
+	if h.primary {
+		g.usedAt = now
+	}
+	for i, answer := range answers {
+		h.member.heardAt = now
+		h.note(answer, commands[i], sentAt, valid, now)
+	}
+	if err != nil {
+		g.kick()
+	}
+	return answers, err
+}
+
+// note records what an answer tells of its member. The caller holds the group's mu.
+func (h *Hold) note(
+	answer citronusher.Answer, command citronusher.Command, sentAt citronusher.Instant, valid bool, now citronusher.Instant,
+) {
+	g := h.group
+	if valid {
+		g.window.Observe(answer.Position, sentAt)
+	}
+	if !answer.Position.IsZero() {
+		h.member.position = answer.Position
+	}
+	switch answer.Refusal {
+	case citronusher.RefusalBehind:
+		h.member.markBehind(command.After, now)
+	case citronusher.RefusalReadOnly:
+		if h.primary && g.right.Term() == h.term && !g.right.Closed() {
+			g.right.Close()
+			g.kick()
+		}
+	}
+}
+
+// Confirm waits until it is certain that no other primary had taken over when the last answer arrived. Its error is a
+// *Failure with an unknown outcome.
+func (h *Hold) Confirm(deadline citronusher.Instant) error {
+	g := h.group
+	timer := time.NewTimer(max(0, deadline.Sub(g.now())))
+	defer timer.Stop()
+	for {
+		g.mu.Lock()
+		same := h.primary && g.right.Term() == h.term && !g.right.Closed()
+		valid := same && g.right.Valid(g.now())
+		changed := g.changed
+		g.mu.Unlock()
+		if valid {
+			return nil
+		}
+		if !same {
+			return citronusher.Doubt(citronusher.ReasonConfirm, "another primary took over while the write ran")
+		}
+		g.kick()
+		select {
+		case <-changed:
+		case <-timer.C:
+			return citronusher.Doubt(citronusher.ReasonConfirm, "the primary's term could not be confirmed in time")
+		}
+	}
+}
+
+// Release gives the connection back for other requests. Its session state must be as Values and Prepared say, and it must not
+// be in a transaction.
+func (h *Hold) Release() {
+	g := h.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	h.member.busy--
+	_, kept := h.member.open[h.conn]
+	if !kept || g.closed || g.members[h.member.report.ID] != h.member {
+		delete(h.member.open, h.conn)
+		closeConn(h.conn)
+	} else {
+		h.conn.idleSince = g.now()
+		h.member.idle = append(h.member.idle, h.conn)
+	}
+	g.dispatch(g.now())
+}
+
+// Discard closes the connection; whatever it runs is rolled back.
+func (h *Hold) Discard() {
+	g := h.group
+	closeConn(h.conn)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	h.member.busy--
+	delete(h.member.open, h.conn)
+	g.dispatch(g.now())
+}
--- /dev/null
+++ b/targets/member.go
@@ -0,0 +1,135 @@
+package targets
+
+import (
+	"time"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/place"
+)
+
+const (
+	dialLimit    = 400 * time.Millisecond
+	idleLimit    = 5 * time.Second         // for idle connections beyond the daemon's even share
+	behindPause  = 40 * time.Millisecond   // before a replica that was behind is asked again
+	fullPause    = 400 * time.Millisecond  // before a member without free connections is asked for another one
+	downPause    = 500 * time.Millisecond  // before a member that did not answer is asked again
+	leavingSpan  = 3500 * time.Millisecond // how long a leaving primary may still be used
+	burstDivisor = 2                       // a daemon may hold its even share and this part of the rest for a while
+)
+
+// conn is an open connection with the session state that it holds.
+type conn struct {
+	link      citronusher.MemberConn
+	values    map[string]string
+	prepared  map[string]bool
+	sentAt    citronusher.Instant // when the statement that runs was sent; 0 when none runs
+	idleSince citronusher.Instant
+}
+
+// member is one group member at this daemon. Its group's mutex guards it.
+type member struct {
+	report  citronusher.MemberReport
+	idle    []*conn
+	open    map[*conn]struct{} // idle and busy ones
+	busy    int                // connections that requests hold or open
+	running int                // statements that the member runs for this daemon
+	share   int                // even share of the member's connections
+	limit   int
+
+	heardAt      citronusher.Instant // when the member last answered anything
+	downUntil    citronusher.Instant
+	fullUntil    citronusher.Instant
+	behindUntil  citronusher.Instant
+	behindAt     citronusher.Position // the least position that the member lacked
+	position     citronusher.Position // the last position that it told
+	leavingSince citronusher.Instant
+	missing      bool // the last list of members lacked it
+	probing      bool
+	warming      bool
+}
+
+func newMember(report citronusher.MemberReport) *member {
+	return &member{report: report, open: map[*conn]struct{}{}}
+}
+
+// setShare divides the member's connections among the daemons.
+func (m *member) setShare(connections, daemons int) {
+	m.share = max(1, connections/daemons)
+	m.limit = m.share + max(0, connections-m.share*daemons)/burstDivisor
+}
+
+// oldestSent returns when the oldest statement that still runs was sent; 0 when none runs.
+func (m *member) oldestSent() citronusher.Instant {
+	oldest := citronusher.Instant(0)
+	for c := range m.open {
+		if c.sentAt != 0 && (oldest == 0 || c.sentAt < oldest) {
+			oldest = c.sentAt
+		}
+	}
+	return oldest
+}
+
+// usable reports whether new work may go to the member.
+func (m *member) usable(now citronusher.Instant, primary bool) bool {
+	if now < m.downUntil {
+		return false
+	}
+	if m.report.Leaving {
+		return primary && now < m.leavingSince.Add(leavingSpan)
+	}
+	return true
+}
+
+// candidate describes the member for the choice.
+func (m *member) candidate(now citronusher.Instant, need place.Need, primary, near bool) place.Candidate {
+	behind := now < m.behindUntil && !need.After.Less(m.behindAt) && m.position.Less(need.After)
+	limit := m.limit
+	if now < m.fullUntil {
+		limit = max(1, len(m.open))
+	}
+	return place.Candidate{
+		Name: m.report.ID, Primary: primary, Usable: m.usable(now, primary), Behind: behind, Near: near,
+		Busy: m.busy, Running: m.running, Limit: limit, Slots: m.report.Slots,
+	}
+}
+
+// takeIdle returns the idle connection that was used last, or nil.
+func (m *member) takeIdle() *conn {
+	n := len(m.idle)
+	if n == 0 {
+		return nil
+	}
+	c := m.idle[n-1]
+	m.idle = m.idle[:n-1]
+	return c
+}
+
+// takeSurplus removes and returns the connections that were idle for too long beyond the daemon's share.
+func (m *member) takeSurplus(now citronusher.Instant) []*conn {
+	var surplus []*conn
+	for len(m.idle) > 0 && len(m.open) > m.share && m.idle[0].idleSince.Add(idleLimit) < now {
+		surplus = append(surplus, m.idle[0])
+		delete(m.open, m.idle[0])
+		m.idle = m.idle[1:]
+	}
+	return surplus
+}
+
+// takeAll removes and returns every connection.
+func (m *member) takeAll() []*conn {
+	all := make([]*conn, 0, len(m.open))
+	for c := range m.open {
+		all = append(all, c)
+	}
+	m.open = map[*conn]struct{}{}
+	m.idle = nil
+	return all
+}
+
+// markBehind records that the member's log lacked a position.
+func (m *member) markBehind(position citronusher.Position, now citronusher.Instant) {
+	if now >= m.behindUntil || position.Less(m.behindAt) {
+		m.behindAt = position
+	}
+	m.behindUntil = now.Add(behindPause)
+}
--- /dev/null
+++ b/targets/move.go
@@ -0,0 +1,297 @@
+package targets
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/events"
+	"citronusher.example/citronusher/succession"
+)
+
+const (
+	moveLimit    = 4 * time.Second        // for a whole promotion
+	holdLimit    = 300 * time.Millisecond // for a replica's answer to the order to stop receiving
+	catchUpLimit = 400 * time.Millisecond // for a replica to receive what a leaving primary has
+	catchUpPause = 15 * time.Millisecond
+	effectPause  = 40 * time.Millisecond  // between two looks at the promoted member
+	movePause    = 300 * time.Millisecond // before another promotion after a failed one
+	aliveWindow  = 150 * time.Millisecond // in which replicas that receive show that their primary lives
+	linkPatience = 1500 * time.Millisecond
+)
+
+// move is one promotion in progress.
+type move struct {
+	group    *Group
+	planned  bool
+	primary  string // the member that is replaced; empty when none is known
+	term     uint64 // the newest term that any member told
+	claim    citronusher.Claim
+	deadline citronusher.Instant // until when the promotion may be ordered
+	held     []report
+}
+
+// moveIfNeeded begins a promotion when the primary is lost or leaves. The caller holds mu.
+func (g *Group) moveIfNeeded(now citronusher.Instant) {
+	if g.moving || now < g.deferred || len(g.members) < 2 { //nolint:mnd // one to replace, one to follow
+		return
+	}
+	primary := g.members[g.primary]
+	if primary != nil && now < primary.heardAt.Add(silentAfter) && now >= primary.downUntil {
+		g.lostAt = 0
+	}
+	loss := succession.Loss{Since: g.lostAt, Refused: g.refused, Known: primary != nil && !g.right.Closed()}
+	planned := primary != nil && primary.report.Leaving && !g.right.Closed() && g.right.Valid(now)
+	if !planned && !loss.Due(now) {
+		return
+	}
+	g.moving = true
+	m := &move{group: g, planned: planned, primary: g.primary, term: max(g.right.Term(), g.highest)}
+	g.background(m.run)
+}
+
+// run carries the promotion out.
+func (m *move) run() {
+	g := m.group
+	ctx, cancel := context.WithTimeout(g.set.ctx, moveLimit)
+	defer cancel()
+	why := m.try(ctx)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.moving = false
+	g.deferred = g.now().Add(movePause)
+	g.lookedAt = 0
+	if why != "" {
+		events.Log(g.set.config.Logger, events.MoveEnded, "group", g.name, "primary", m.primary, "term", m.term,
+			"planned", m.planned, "reason", why)
+	}
+	g.set.config.Refresh()
+	g.kick()
+}
+
+// try returns why the promotion was given up, or nothing.
+func (m *move) try(ctx context.Context) string {
+	if why := m.take(ctx); why != "" {
+		return why
+	}
+	if why := m.examine(); why != "" {
+		return why
+	}
+	events.Log(m.group.set.config.Logger, events.Promoting, "group", m.group.name, "primary", m.primary, "term", m.term,
+		"planned", m.planned, "token", m.claim.Token)
+	if m.planned {
+		m.stepDown()
+	}
+	if why := m.hold(); why != "" {
+		m.resume()
+		return why
+	}
+	return m.order(ctx)
+}
+
+// take claims the group.
+func (m *move) take(ctx context.Context) string {
+	g := m.group
+	askedAt := g.now()
+	read, version, err := g.set.config.Store.ReadClaim(ctx, g.name)
+	if err != nil {
+		return "the claim could not be read: " + err.Error()
+	}
+	if !succession.Open(read, g.set.config.Self) {
+		return "another daemon holds the claim: " + read.Holder
+	}
+	m.claim, err = g.set.config.Store.WriteClaim(ctx, g.name, version, succession.Next(read, g.set.config.Self))
+	if err != nil {
+		return "the claim could not be written: " + err.Error()
+	}
+	m.deadline = succession.OrderDeadline(askedAt)
+	return ""
+}
+
+// examine makes sure that the primary is really lost, unless it leaves.
+func (m *move) examine() string {
+	g := m.group
+	reports := g.askAll(lookLimit, status)
+	newest, leads := m.newest(reports)
+	if newest > m.term {
+		m.adopt(reports)
+		return "a newer term exists"
+	}
+	if m.planned {
+		return ""
+	}
+	if leads {
+		m.adopt(reports)
+		return "the primary answers"
+	}
+	g.mu.Lock()
+	patient := g.refused || g.now() > g.lostAt.Add(linkPatience)
+	g.mu.Unlock()
+	if patient {
+		return ""
+	}
+	before := latest(reports)
+	time.Sleep(aliveWindow)
+	if before.Less(latest(g.askAll(lookLimit, status))) {
+		return "replicas receive from the primary: only this daemon cannot reach it"
+	}
+	return ""
+}
+
+// newest returns the newest term in reports and whether the primary to be replaced still leads under it.
+func (m *move) newest(reports []report) (term uint64, leads bool) {
+	for _, r := range reports {
+		if r.err != nil {
+			continue
+		}
+		term = max(term, r.status.Term)
+		if r.status.Role == citronusher.RolePrimary && r.status.Term >= m.term {
+			leads = true
+		}
+	}
+	return term, leads
+}
+
+func latest(reports []report) citronusher.Position {
+	var position citronusher.Position
+	for _, r := range reports {
+		if r.err == nil && r.status.Role == citronusher.RoleReplica {
+			position = position.Max(r.status.Position)
+		}
+	}
+	return position
+}
+
+func (m *move) adopt(reports []report) {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	m.group.adopt(reports)
+}
+
+// stepDown makes a leaving primary a replica and waits until another member has received all of its log.
+func (m *move) stepDown() {
+	g := m.group
+	g.mu.Lock()
+	primary := g.members[m.primary]
+	g.mu.Unlock()
+	if primary == nil {
+		return
+	}
+	last := g.ask(primary, holdLimit, func(c *conn, deadline citronusher.Instant) (citronusher.MemberStatus, error) {
+		return c.link.Demote(deadline, m.term+1)
+	})
+	if last.err != nil {
+		return // the promotion goes on as for a lost primary
+	}
+	waitDeadline := g.now().Add(catchUpLimit)
+	for g.now() < waitDeadline {
+		for _, r := range g.askAll(holdLimit, status) {
+			if r.err == nil && r.member != primary && !r.member.report.Leaving && !r.status.Position.Less(last.status.Position) {
+				return
+			}
+		}
+		time.Sleep(catchUpPause)
+	}
+}
+
+// hold makes every other member stop receiving, so that no right to use the old primary is renewed any more. It fails unless
+// all of them do: one that was left out could renew a right.
+func (m *move) hold() string {
+	g := m.group
+	term := m.term + 1
+	for _, r := range g.askAll(lookLimit, status) {
+		if r.err == nil {
+			term = max(term, r.status.Held+1)
+		}
+	}
+	reports := g.askAll(holdLimit, func(c *conn, deadline citronusher.Instant) (citronusher.MemberStatus, error) {
+		return c.link.Hold(deadline, term)
+	})
+	for _, r := range reports {
+		old := r.member.report.ID == m.primary
+		switch {
+		case r.err != nil && !old:
+			return "member " + r.member.report.ID + " did not stop receiving: " + r.err.Error()
+		case r.err == nil && r.status.Role == citronusher.RolePrimary && !old:
+			return "member " + r.member.report.ID + " leads"
+		case r.err == nil && r.status.Role == citronusher.RoleReplica:
+			m.held = append(m.held, r)
+		}
+	}
+	return ""
+}
+
+// resume lets the members receive again.
+func (m *move) resume() {
+	var tasks errgroup.Group
+	for _, r := range m.held {
+		tasks.Go(func() error {
+			m.group.ask(r.member, holdLimit, func(c *conn, deadline citronusher.Instant) (citronusher.MemberStatus, error) {
+				return citronusher.MemberStatus{}, c.link.Resume(deadline)
+			})
+			return nil
+		})
+	}
+	_ = tasks.Wait() // the functions return no errors
+}
+
+// order promotes the member that received most and waits until it leads.
+func (m *move) order(ctx context.Context) string {
+	g := m.group
+	list := make([]succession.Member, 0, len(m.held))
+	for _, r := range m.held {
+		list = append(list, succession.Member{ID: r.member.report.ID, Position: r.status.Position, Leaving: r.member.report.Leaving})
+	}
+	winner, ok := succession.Winner(list)
+	if !ok {
+		return "no member can follow"
+	}
+	if wait := succession.OrderAt(g.now()).Sub(g.now()); wait > 0 {
+		time.Sleep(wait)
+	}
+	if g.now() > m.deadline {
+		m.resume()
+		return "the claim is too old to order a promotion"
+	}
+	if err := g.set.config.Promoter.Promote(ctx, g.name, winner, m.claim); err != nil {
+		return "the promotion of " + winner + " was not confirmed: " + err.Error()
+	}
+	g.set.config.Meter.Promotions().Inc(1)
+	events.Log(g.set.config.Logger, events.Promoted, "group", g.name, "member", winner, "token", m.claim.Token)
+	return m.await(ctx, winner)
+}
+
+// await waits until the promoted member leads and takes it over.
+func (m *move) await(ctx context.Context, winner string) string {
+	g := m.group
+	g.mu.Lock()
+	g.right.Close()
+	next := g.members[winner]
+	g.mu.Unlock()
+	for next != nil && ctx.Err() == nil {
+		time.Sleep(effectPause)
+		r := g.ask(next, lookLimit, status)
+		if r.err == nil && r.status.Role == citronusher.RolePrimary {
+			m.adopt(g.askAll(lookLimit, status))
+			m.demoteOld(r.status.Term)
+			return ""
+		}
+	}
+	return "the promoted member does not lead yet"
+}
+
+// demoteOld makes the old primary follow at once, when it can be reached.
+func (m *move) demoteOld(term uint64) {
+	g := m.group
+	g.mu.Lock()
+	old := g.members[m.primary]
+	reachable := old != nil && m.primary != g.primary && g.now() >= old.downUntil
+	g.mu.Unlock()
+	if reachable {
+		g.ask(old, holdLimit, func(c *conn, deadline citronusher.Instant) (citronusher.MemberStatus, error) {
+			return c.link.Demote(deadline, term)
+		})
+	}
+}
--- /dev/null
+++ b/targets/set.go
@@ -0,0 +1,135 @@
+// Package targets holds the connections to the members of database groups: it gives requests a connection to the right
+// member, keeps the right to use each group's primary, notices members that stopped answering and promotes another primary.
+//
+// What goes next and where is decided by package place, whether the primary may be used by package right, and how a promotion
+// goes by package succession.
+package targets
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/meter"
+)
+
+// Config holds what the targets need from their daemon.
+type Config struct {
+	// Self is the daemon's name and Domain its failure domain.
+	Self, Domain string
+	// Dialer opens connections to members.
+	Dialer citronusher.MemberDialer
+	// Store keeps the claims of promotions.
+	Store citronusher.Store
+	// Promoter orders promotions.
+	Promoter citronusher.Promoter
+	// Refresh asks for the members' newest reports, soon.
+	Refresh func()
+	// Timer gives the time.
+	Timer citronusher.Timer
+	// Logger receives the events.
+	Logger *slog.Logger
+	// Meter counts.
+	Meter *meter.Meter
+}
+
+// Set is every group that the daemon serves.
+type Set struct {
+	config Config
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  errgroup.Group
+
+	mu      sync.Mutex
+	groups  map[string]*Group
+	plan    citronusher.Plan
+	reports []citronusher.MemberReport
+	daemons int
+}
+
+// New returns a set without groups.
+func New(config Config) *Set {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Set{config: config, ctx: ctx, cancel: cancel, groups: map[string]*Group{}, daemons: 1}
+}
+
+// Apply puts a plan in force.
+func (s *Set) Apply(plan citronusher.Plan) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.plan = plan
+	s.update()
+}
+
+// SetMembers takes the members' newest reports.
+func (s *Set) SetMembers(reports []citronusher.MemberReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reports = reports
+	s.update()
+}
+
+// SetDaemons takes the number of daemons that share the members' connections.
+func (s *Set) SetDaemons(count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.daemons = max(1, count)
+	s.update()
+}
+
+// update brings the groups in line with the plan and the reports. The caller holds mu.
+func (s *Set) update() {
+	byGroup := map[string][]citronusher.MemberReport{}
+	for _, report := range s.reports {
+		byGroup[report.Group] = append(byGroup[report.Group], report)
+	}
+	for name, plan := range s.plan.Groups {
+		g := s.groups[name]
+		if g == nil {
+			g = newGroup(s, name)
+			s.groups[name] = g
+			s.tasks.Go(func() error { g.watch(); return nil })
+		}
+		g.configure(plan.Connections, s.daemons, byGroup[name])
+	}
+	for name, g := range s.groups {
+		if _, ok := s.plan.Groups[name]; !ok {
+			delete(s.groups, name)
+			g.close()
+		}
+	}
+}
+
+// Group returns the group called name.
+func (s *Set) Group(name string) (*Group, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g, ok := s.groups[name]
+	return g, ok
+}
+
+// Close closes every connection and waits for what runs in the background.
+func (s *Set) Close() error {
+	s.cancel()
+	s.mu.Lock()
+	for _, g := range s.groups {
+		g.close()
+	}
+	s.mu.Unlock()
+	return s.tasks.Wait()
+}
+
+// Ready reports whether the primary of every group is known.
+func (s *Set) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range s.groups {
+		if !g.Ready() {
+			return false
+		}
+	}
+	return len(s.groups) > 0
+}
--- /dev/null
+++ b/targets/watch.go
@@ -0,0 +1,353 @@
+package targets
+
+import (
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/events"
+	"citronusher.example/citronusher/right"
+)
+
+const (
+	renewAfter  = 400 * time.Millisecond // after the question that renewed the right last
+	renewLimit  = 200 * time.Millisecond // for one replica's answer
+	renewIdle   = 3 * time.Second        // without requests for the primary the right is not renewed
+	lookPause   = 120 * time.Millisecond // between two looks for the primary
+	lookLimit   = 300 * time.Millisecond // for one member's answer
+	silentAfter = 150 * time.Millisecond // a member that leaves a statement unanswered for so long is probed
+	probeLimit  = 250 * time.Millisecond // for a probe's answer
+	warmSpare   = 1                      // idle connections that are opened ahead of need
+)
+
+// watch keeps the right, looks for the primary and probes silent members until the group closes.
+func (g *Group) watch() {
+	ticker := time.NewTicker(groupTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-g.done:
+			return
+		case <-ticker.C:
+		case <-g.kicked:
+		}
+		g.step()
+	}
+}
+
+// step begins whatever is due now.
+func (g *Group) step() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return
+	}
+	now := g.now()
+	g.lookIfNeeded(now)
+	g.renewIfNeeded(now)
+	for _, m := range g.members {
+		g.probeIfSilent(m, now)
+		g.warmIfEmpty(m, now)
+		closeAll(m.takeSurplus(now))
+	}
+	g.moveIfNeeded(now)
+	g.dispatch(now)
+}
+
+// background runs f until the set closes.
+func (g *Group) background(f func()) {
+	g.set.tasks.Go(func() error {
+		f()
+		return nil
+	})
+}
+
+// lookIfNeeded asks every member for its report while no primary is known under a right. The caller holds mu.
+func (g *Group) lookIfNeeded(now citronusher.Instant) {
+	lost := g.right.Term() == 0 || g.right.Closed()
+	if !lost || g.looking || g.moving || now < g.lookedAt.Add(lookPause) || len(g.members) == 0 {
+		return
+	}
+	g.looking = true
+	g.lookedAt = now
+	g.background(g.look)
+}
+
+// report is a member's answer to a question.
+type report struct {
+	member  *member
+	status  citronusher.MemberStatus
+	askedAt citronusher.Instant
+	err     error
+}
+
+// askAll asks every member at the same time.
+func (g *Group) askAll(limit time.Duration, ask func(*conn, citronusher.Instant) (citronusher.MemberStatus, error)) []report {
+	g.mu.Lock()
+	list := make([]*member, 0, len(g.members))
+	for _, m := range g.members {
+		list = append(list, m)
+	}
+	g.mu.Unlock()
+	reports := make([]report, len(list))
+	var tasks errgroup.Group
+	for i, m := range list {
+		tasks.Go(func() error {
+			reports[i] = g.ask(m, limit, ask)
+			return nil
+		})
+	}
+	_ = tasks.Wait() // the functions return no errors
+	return reports
+}
+
+func status(c *conn, deadline citronusher.Instant) (citronusher.MemberStatus, error) {
+	return c.link.Status(deadline)
+}
+
+// ask puts one question to a member, on an idle connection or a new one.
+func (g *Group) ask(
+	m *member, limit time.Duration, question func(*conn, citronusher.Instant) (citronusher.MemberStatus, error),
+) report {
+	g.mu.Lock()
+	c := m.takeIdle()
+	g.mu.Unlock()
+	deadline := g.now().Add(limit)
+	fresh := c == nil
+	if fresh {
+		var err error
+		if c, err = g.dial(m, deadline); err != nil {
+			return report{member: m, err: err}
+		}
+	}
+	askedAt := g.now()
+	answer, err := question(c, deadline)
+	g.set.config.Meter.Probes().Inc(1)
+	g.returnAsked(m, c, err)
+	if err != nil && !fresh && citronusher.AsFailure(err).Reason() == citronusher.ReasonConnect && g.now() < deadline {
+		return g.ask(m, deadline.Sub(g.now()), question) // the idle connection was closed meanwhile
+	}
+	return report{member: m, status: answer, askedAt: askedAt, err: err}
+}
+
+// returnAsked gives a connection back after a question.
+func (g *Group) returnAsked(m *member, c *conn, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	broken := err != nil && citronusher.AsFailure(err).Reason() != citronusher.ReasonFull
+	_, kept := m.open[c]
+	if broken || !kept || g.closed {
+		delete(m.open, c)
+		closeConn(c)
+		return
+	}
+	m.heardAt = now
+	c.idleSince = now
+	m.idle = append(m.idle, c)
+	g.dispatch(now)
+}
+
+// look asks every member and takes over the primary that the answers show.
+func (g *Group) look() {
+	reports := g.askAll(lookLimit, status)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.looking = false
+	g.adopt(reports)
+}
+
+// adopt takes over the primary that reports show, if they show one. The caller holds mu.
+func (g *Group) adopt(reports []report) {
+	now := g.now()
+	var leader *report
+	for i := range reports {
+		r := &reports[i]
+		if r.err != nil {
+			continue
+		}
+		g.highest = max(g.highest, r.status.Term)
+		if r.status.Role == citronusher.RolePrimary && (leader == nil || r.status.Term > leader.status.Term) {
+			leader = r
+		}
+	}
+	if leader == nil || leader.status.Term < g.highest {
+		g.noteLost(now, false)
+		return
+	}
+	var fresh right.Right
+	fresh.Begin(leader.status.Term)
+	for _, r := range reports {
+		if r.err == nil && r.member != leader.member {
+			fresh.Report(r.status, r.askedAt)
+		}
+	}
+	if fresh.Closed() {
+		g.noteLost(now, false)
+		return
+	}
+	g.lead(leader, fresh, now)
+}
+
+// lead takes over a primary under a right that began now. The caller holds mu.
+func (g *Group) lead(leader *report, fresh right.Right, now citronusher.Instant) {
+	id := leader.member.report.ID
+	if id != g.primary || fresh.Term() != g.right.Term() {
+		events.Log(g.set.config.Logger, events.PrimaryKnown, "group", g.name, "member", id, "term", fresh.Term(),
+			"before", g.primary, "position", leader.status.Position.String())
+		if old := g.members[g.primary]; old != nil && id != g.primary {
+			closeAll(old.takeAll())
+		}
+		g.window.Reset()
+	}
+	g.primary, g.right, g.lostAt, g.refused = id, fresh, 0, false
+	leader.member.downUntil = 0
+	g.renewAt = leader.askedAt
+	if fresh.Valid(leader.askedAt) {
+		g.window.Observe(leader.status.Position, leader.askedAt)
+	}
+	g.wake()
+	g.dispatch(now)
+}
+
+// noteLost records since when no primary can be used. The caller holds mu.
+func (g *Group) noteLost(now citronusher.Instant, refused bool) {
+	if g.lostAt == 0 {
+		g.lostAt = now
+	}
+	g.refused = g.refused || refused
+}
+
+// renewIfNeeded asks a replica to renew the right, while requests use the primary. The caller holds mu.
+func (g *Group) renewIfNeeded(now citronusher.Instant) {
+	used := g.queue.Primary() > 0 || now < g.usedAt.Add(renewIdle)
+	if g.renewing || g.right.Term() == 0 || g.right.Closed() || !used || now < g.renewAt.Add(renewAfter) {
+		return
+	}
+	g.renewing = true
+	g.background(g.renew)
+}
+
+// renew asks one replica after the other until one renews the right.
+func (g *Group) renew() {
+	for _, m := range g.witnesses() {
+		r := g.ask(m, renewLimit, status)
+		g.mu.Lock()
+		verdict := right.Silent
+		if r.err == nil && g.members[m.report.ID] == m && m.report.ID != g.primary {
+			verdict = g.right.Report(r.status, r.askedAt)
+			m.position = m.position.Max(r.status.Position)
+		}
+		if verdict != right.Silent {
+			g.finishRenewal(verdict, r)
+			g.mu.Unlock()
+			return
+		}
+		g.mu.Unlock()
+	}
+	g.mu.Lock()
+	g.renewing = false
+	g.mu.Unlock()
+}
+
+// finishRenewal records a decisive answer. The caller holds mu.
+func (g *Group) finishRenewal(verdict right.Verdict, r report) {
+	g.renewing = false
+	g.renewAt = r.askedAt
+	if verdict == right.Superseded {
+		events.Log(g.set.config.Logger, events.RightClosed, "group", g.name, "term", g.right.Term(), "member",
+			r.member.report.ID, "held", r.status.Held, "newer", r.status.Term)
+		g.kick()
+	}
+	g.wake()
+	g.dispatch(g.now())
+}
+
+// witnesses returns the replicas in the order in which they are asked for a renewal: idle ones first.
+func (g *Group) witnesses() []*member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	var list []*member
+	for id, m := range g.members {
+		if id == g.primary {
+			continue
+		}
+		if now < m.downUntil || m.running > 0 {
+			list = append(list, m)
+		} else {
+			list = append([]*member{m}, list...)
+		}
+	}
+	return list
+}
+
+// warmIfEmpty opens a connection ahead of need. The caller holds mu.
+func (g *Group) warmIfEmpty(m *member, now citronusher.Instant) {
+	if m.warming || len(m.open) >= m.share || len(m.idle) >= warmSpare || now < m.downUntil || now < m.fullUntil ||
+		m.report.Leaving {
+		return
+	}
+	m.warming = true
+	g.background(func() { g.warm(m) })
+}
+
+func (g *Group) warm(m *member) {
+	c, err := g.dial(m, g.now().Add(dialLimit))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.warming = false
+	if err != nil {
+		return // dial has noted it
+	}
+	if g.closed || g.members[m.report.ID] != m {
+		delete(m.open, c)
+		closeConn(c)
+		return
+	}
+	m.idle = append(m.idle, c)
+	g.dispatch(g.now())
+}
+
+// probeIfSilent probes a member that leaves a statement unanswered. The caller holds mu.
+func (g *Group) probeIfSilent(m *member, now citronusher.Instant) {
+	sent := m.oldestSent()
+	if m.probing || sent == 0 || max(sent, m.heardAt).Add(silentAfter) > now {
+		return
+	}
+	m.probing = true
+	g.background(func() { g.probe(m) })
+}
+
+// probe asks a silent member on a new connection. A member that does not answer loses its connections: what can be retried is
+// retried elsewhere.
+func (g *Group) probe(m *member) {
+	c, err := g.dial(m, g.now().Add(probeLimit))
+	if err == nil {
+		_, err = c.link.Status(g.now().Add(probeLimit))
+		g.set.config.Meter.Probes().Inc(1)
+		g.returnAsked(m, c, err)
+		if err != nil && citronusher.AsFailure(err).Reason() == citronusher.ReasonConnect {
+			g.mu.Lock()
+			g.markDown(m, g.now(), err)
+			g.mu.Unlock()
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.probing = false
+}
+
+// markDown records that a member does not answer. The caller holds mu.
+func (g *Group) markDown(m *member, now citronusher.Instant, err error) {
+	if now >= m.downUntil {
+		events.Log(g.set.config.Logger, events.ProbeFailed, "group", g.name, "member", m.report.ID, "error", err)
+	}
+	m.downUntil = now.Add(downPause)
+	closeAll(m.takeAll())
+	if m.report.ID == g.primary {
+		g.noteLost(now, false)
+	}
+	g.kick()
+}
