--- a/errors.go
+++ b/errors.go
@@ -19,6 +19,10 @@
 	ErrNotFound = errors.New("not found")
 	// ErrFenced reports that a member refused an order because it knows an equal or newer term.
 	ErrFenced = errors.New("fenced by a newer term")
+	// ErrRefused reports that a machine answers, but nothing listens at the address.
+	ErrRefused = errors.New("connection refused")
+	// ErrReplaced reports that another member answers at an address.
+	ErrReplaced = errors.New("another member answers")
 	// ErrClosed reports use of a component after Close.
 	ErrClosed = errors.New("closed")
 	// ErrInvalid reports input that fails a check; the message names the field, the value and the range.
@@ -120,6 +124,7 @@
 	outcome Outcome
 	reason  Reason
 	message string
+	cause   error
 }
 
 // NewFailure returns the failure of a request that ended with outcome for reason.
@@ -137,6 +142,16 @@
 	return NewFailure(Unknown, reason, format, args...)
 }
 
+// Because returns the failure with the error that caused it, which errors.Is then finds.
+func (f *Failure) Because(cause error) *Failure {
+	g := *f
+	g.cause = cause
+	return &g
+}
+
+// Unwrap returns the error that caused the failure; nil when none is known.
+func (f *Failure) Unwrap() error { return f.cause }
+
 // Outcome returns what is known of the request's effect.
 func (f *Failure) Outcome() Outcome { return f.outcome }
 
--- a/events/events.go
+++ b/events/events.go
@@ -39,6 +39,7 @@
 	PrimaryKnown       Event = 416
 	RightClosed        Event = 417
 	MoveEnded          Event = 418
+	MemberBack         Event = 419
 	SignInRefused      Event = 501
 	CallerFailed       Event = 502
 	RequestUnknown     Event = 503
@@ -86,6 +87,7 @@
 	PrimaryKnown:       {slog.LevelInfo, "primary is known under a term"},
 	RightClosed:        {slog.LevelInfo, "right to use the primary was closed by a newer term"},
 	MoveEnded:          {slog.LevelInfo, "promotion was given up"},
+	MemberBack:         {slog.LevelInfo, "member answers again"},
 	SignInRefused:      {slog.LevelWarn, "caller's sign-in was refused"},
 	CallerFailed:       {slog.LevelDebug, "caller's connection failed"},
 	RequestUnknown:     {slog.LevelWarn, "request ended with an unknown outcome"},
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -124,8 +124,12 @@
 		} else {
 			plan, version, err = f.config.Store.Plan(f.ctx)
 		}
-		f.note("plan", err)
+		if !errors.Is(err, citronusher.ErrNotFound) {
+			f.note("plan", err)
+		}
 		switch {
+		case errors.Is(err, citronusher.ErrNotFound):
+			wait = retryPause
 		case errors.Is(err, citronusher.ErrInvalid):
 			events.Log(f.config.Logger, events.DocumentRefused, "error", err)
 			wait = nextPause(wait)
@@ -180,6 +184,7 @@
 
 func (f *Follower) followInstances() {
 	registered, wait := false, time.Duration(0)
+	early := []time.Duration{time.Second, 2 * time.Second} //nolint:mnd // daemons that start together
 	for f.ctx.Err() == nil {
 		err := error(nil)
 		if !registered {
@@ -193,6 +198,9 @@
 		f.note("instances", err)
 		if err == nil {
 			wait = instancePause
+			if len(early) > 0 {
+				wait, early = early[0], early[1:]
+			}
 			f.config.Instances(instances)
 		} else {
 			wait = nextPause(wait)
--- a/place/queue.go
+++ b/place/queue.go
@@ -90,6 +90,19 @@
 	return true
 }
 
+// Drop takes the requests out that hopeless reports, because nothing can start them before their deadline.
+func (q *Queue) Drop(hopeless func(t *Ticket) bool) []*Ticket {
+	var dropped []*Ticket
+	q.tickets = slices.DeleteFunc(q.tickets, func(t *Ticket) bool {
+		if !hopeless(t) {
+			return false
+		}
+		dropped = append(dropped, t)
+		return true
+	})
+	return dropped
+}
+
 // Next takes the requests out that can start now and those whose deadline has passed. start is called for each request in
 // turn and returns the member that it starts at, after it has counted the request there.
 func (q *Queue) Next(
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -91,6 +91,11 @@
 		return err
 	}
 	s.database = database
+	if !s.awaitPlan() {
+		failure := citronusher.Refuse(citronusher.ReasonLeaving, "no configuration is known yet; try again in a second")
+		s.proxy.config.Meter.Failed(failure)
+		return s.caller.Reject(failure)
+	}
 	if _, ok := s.proxy.config.Plan().Routes[database]; !ok {
 		failure := unknownDatabase(database)
 		s.proxy.config.Meter.Failed(failure)
@@ -99,6 +104,18 @@
 	return s.caller.Accept()
 }
 
+// awaitPlan waits a short time for the daemon's first plan.
+func (s *session) awaitPlan() bool {
+	deadline := s.proxy.config.Timer.Instant().Add(planLimit)
+	for s.proxy.config.Plan().Version == 0 {
+		if s.proxy.config.Timer.Instant() >= deadline || s.proxy.isDraining() {
+			return false
+		}
+		time.Sleep(planPoll)
+	}
+	return true
+}
+
 func unknownDatabase(database string) *citronusher.Failure {
 	return citronusher.Refuse(citronusher.ReasonDatabase, "database %s does not exist", database)
 }
@@ -203,4 +220,8 @@
 	hold.Release()
 }
 
-const rollbackLimit = 300 * time.Millisecond
+const (
+	rollbackLimit = 300 * time.Millisecond
+	planLimit     = 1 * time.Second
+	planPoll      = 20 * time.Millisecond
+)
--- a/targets/group.go
+++ b/targets/group.go
@@ -33,6 +33,7 @@
 	lookedAt citronusher.Instant
 	lostAt   citronusher.Instant // since when the primary is not reachable; 0 while it is
 	refused  bool                // the primary's machine refuses connections
+	backAt   citronusher.Instant // when a primary that is lost is expected to be replaced
 	moving   bool                // this daemon carries out a promotion
 	deferred citronusher.Instant // no promotion is begun before
 	highest  uint64              // the highest term that any member told
@@ -54,8 +55,8 @@
 
 func (g *Group) now() citronusher.Instant { return g.set.config.Timer.Instant() }
 
-// configure takes the members' reports and divides their connections among the daemons. A member that one list lacks is kept:
-// reports expire while the platform's store is down.
+// configure takes the members' reports and divides their connections among the daemons. A member that lists lack is kept for a
+// while: reports expire while the platform's store is down.
 func (g *Group) configure(connections, daemons int, reports []citronusher.MemberReport) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -68,16 +69,17 @@
 	}
 	for id, m := range g.members {
 		if seen[id] {
-			m.missing = false
+			m.missingSince = 0
 			continue
 		}
-		if m.missing && len(reports) > 0 {
+		if m.missingSince == 0 {
+			m.missingSince = now
+		}
+		if now >= m.missingSince.Add(missingSpan) && len(reports) > 0 {
 			delete(g.members, id)
 			closeAll(m.takeAll())
 			events.Log(g.set.config.Logger, events.MemberGone, "group", g.name, "member", id)
-			continue
 		}
-		m.missing = true
 	}
 	g.dispatch(now)
 	g.kick()
@@ -95,7 +97,7 @@
 	}
 	if restarted {
 		closeAll(m.takeAll())
-		m.downUntil = 0
+		m.downUntil, m.replaced = 0, false
 	}
 	if report.Leaving && m.leavingSince == 0 {
 		m.leavingSince = now
--- a/targets/hold.go
+++ b/targets/hold.go
@@ -40,7 +40,7 @@
 		g.mu.Unlock()
 		return grant{err: err}
 	}
-	if t.Need().Primary || !t.Need().Known {
+	if g.needsPrimary(t) {
 		g.usedAt = began
 		if !g.right.Valid(began) {
 			g.kick()
@@ -74,13 +74,35 @@
 	switch {
 	case g.closed:
 		return citronusher.Refuse(citronusher.ReasonLeaving, "the group is no longer served here")
-	case t.Deadline() <= now:
+	case t.Deadline() <= now, g.hopeless(t, now):
 		return citronusher.Refuse(citronusher.ReasonQueue, "%s", g.whyWaiting(t, now))
 	default:
 		return nil
 	}
 }
 
+// hopeless reports whether the request needs a primary that is lost and not expected back before the request's deadline. The
+// caller holds mu.
+func (g *Group) hopeless(t *place.Ticket, now citronusher.Instant) bool {
+	return g.needsPrimary(t) && !g.usablePrimary(now) && g.lostAt != 0 && (now > g.backAt || t.Deadline() < g.backAt)
+}
+
+// usablePrimary reports whether requests may go to the primary now. The caller holds mu.
+func (g *Group) usablePrimary(now citronusher.Instant) bool {
+	primary := g.members[g.primary]
+	return g.right.Valid(now) && primary != nil && primary.usable(now, true)
+}
+
+// refuseHopeless refuses the waiting requests that cannot start before their deadline. The caller holds mu.
+func (g *Group) refuseHopeless(now citronusher.Instant) {
+	for _, t := range g.queue.Drop(func(t *place.Ticket) bool { return g.hopeless(t, now) }) {
+		g.answer(t, grant{err: citronusher.Refuse(citronusher.ReasonPrimary, "%s", g.whyWaiting(t, now))})
+	}
+}
+
+// needsPrimary reports whether only the primary can serve the request.
+func (g *Group) needsPrimary(t *place.Ticket) bool { return t.Need().Primary || !t.Need().Known }
+
 // open returns the connection of a grant, opening one when the member has no idle one.
 func (g *Group) open(result grant, t *place.Ticket) (*Hold, error) {
 	m, c := result.member, result.conn
@@ -116,7 +138,7 @@
 	defer g.mu.Unlock()
 	if err == nil {
 		c := &conn{link: link, values: map[string]string{}, prepared: map[string]bool{}, idleSince: now}
-		m.heardAt = now
+		g.heard(m, now)
 		m.open[c] = struct{}{}
 		return c, nil
 	}
@@ -125,7 +147,7 @@
 		m.fullUntil = now.Add(fullPause)
 		return nil, err
 	}
-	g.markDown(m, now, err)
+	g.noteDialFailure(m, now, err)
 	return nil, err
 }
 
--- a/targets/member.go
+++ b/targets/member.go
@@ -14,6 +14,7 @@
 	fullPause    = 400 * time.Millisecond  // before a member without free connections is asked for another one
 	downPause    = 500 * time.Millisecond  // before a member that did not answer is asked again
 	leavingSpan  = 3500 * time.Millisecond // how long a leaving primary may still be used
+	missingSpan  = 2500 * time.Millisecond // how long a member is kept that lists lack
 	burstDivisor = 2                       // a daemon may hold its even share and this part of the rest for a while
 )
 
@@ -43,7 +44,9 @@
 	behindAt     citronusher.Position // the least position that the member lacked
 	position     citronusher.Position // the last position that it told
 	leavingSince citronusher.Instant
-	missing      bool // the last list of members lacked it
+	missingSince citronusher.Instant // since when lists of members lack it; 0 while they do not
+	replaced     bool                // another member answers at its address
+	down         bool                // it has not answered since the last failure
 	probing      bool
 	warming      bool
 }
@@ -71,7 +74,7 @@
 
 // usable reports whether new work may go to the member.
 func (m *member) usable(now citronusher.Instant, primary bool) bool {
-	if now < m.downUntil {
+	if m.down || m.replaced {
 		return false
 	}
 	if m.report.Leaving {
--- a/targets/move.go
+++ b/targets/move.go
@@ -16,9 +16,11 @@
 	holdLimit    = 300 * time.Millisecond // for a replica's answer to the order to stop receiving
 	catchUpLimit = 400 * time.Millisecond // for a replica to receive what a leaving primary has
 	catchUpPause = 15 * time.Millisecond
-	effectPause  = 40 * time.Millisecond  // between two looks at the promoted member
-	movePause    = 300 * time.Millisecond // before another promotion after a failed one
-	aliveWindow  = 150 * time.Millisecond // in which replicas that receive show that their primary lives
+	effectPause  = 40 * time.Millisecond   // between two looks at the promoted member
+	movePause    = 300 * time.Millisecond  // before another promotion after a failed one
+	otherPause   = 1 * time.Second         // before another promotion while another daemon carries one out
+	moveSpan     = 1800 * time.Millisecond // in which a lost primary is usually replaced
+	aliveWindow  = 150 * time.Millisecond  // in which replicas that receive show that their primary lives
 	linkPatience = 1500 * time.Millisecond
 )
 
@@ -30,7 +32,10 @@
 	term     uint64 // the newest term that any member told
 	claim    citronusher.Claim
 	deadline citronusher.Instant // until when the promotion may be ordered
+	seen     []report            // the members' reports when the promotion began
 	held     []report
+	pause    time.Duration // before this daemon begins another one
+	other    bool          // another daemon carries a promotion out
 }
 
 // moveIfNeeded begins a promotion when the primary is lost or leaves. The caller holds mu.
@@ -39,16 +44,13 @@
 		return
 	}
 	primary := g.members[g.primary]
-	if primary != nil && now < primary.heardAt.Add(silentAfter) && now >= primary.downUntil {
-		g.lostAt = 0
-	}
 	loss := succession.Loss{Since: g.lostAt, Refused: g.refused, Known: primary != nil && !g.right.Closed()}
 	planned := primary != nil && primary.report.Leaving && !g.right.Closed() && g.right.Valid(now)
 	if !planned && !loss.Due(now) {
 		return
 	}
 	g.moving = true
-	m := &move{group: g, planned: planned, primary: g.primary, term: max(g.right.Term(), g.highest)}
+	m := &move{group: g, planned: planned, primary: g.primary, term: max(g.right.Term(), g.highest), pause: movePause}
 	g.background(m.run)
 }
 
@@ -61,7 +63,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.moving = false
-	g.deferred = g.now().Add(movePause)
+	g.deferred = g.now().Add(m.pause)
+	if !m.other {
+		g.backAt = g.now().Add(moveSpan)
+	}
 	g.lookedAt = 0
 	if why != "" {
 		events.Log(g.set.config.Logger, events.MoveEnded, "group", g.name, "primary", m.primary, "term", m.term,
@@ -100,6 +105,7 @@
 		return "the claim could not be read: " + err.Error()
 	}
 	if !succession.Open(read, g.set.config.Self) {
+		m.pause, m.other = otherPause, true
 		return "another daemon holds the claim: " + read.Holder
 	}
 	m.claim, err = g.set.config.Store.WriteClaim(ctx, g.name, version, succession.Next(read, g.set.config.Self))
@@ -107,6 +113,11 @@
 		return "the claim could not be written: " + err.Error()
 	}
 	m.deadline = succession.OrderDeadline(askedAt)
+	members, err := g.set.config.Store.Members(ctx)
+	if err != nil {
+		return "the members could not be read: " + err.Error()
+	}
+	g.set.SetMembers(members)
 	return ""
 }
 
@@ -114,6 +125,7 @@
 func (m *move) examine() string {
 	g := m.group
 	reports := g.askAll(lookLimit, status)
+	m.seen = reports
 	newest, leads := m.newest(reports)
 	if newest > m.term {
 		m.adopt(reports)
@@ -123,7 +135,7 @@
 		return ""
 	}
 	if leads {
-		m.adopt(reports)
+		m.release(reports)
 		return "the primary answers"
 	}
 	g.mu.Lock()
@@ -140,6 +152,21 @@
 	return ""
 }
 
+// release lets members receive again that an earlier promotion stopped which never came to its end, and takes the primary over
+// that leads all the while. Only the holder of the claim may do so: no earlier order is under way then.
+func (m *move) release(reports []report) {
+	for _, r := range reports {
+		if r.err == nil && r.status.Held > m.term {
+			m.held = append(m.held, r)
+		}
+	}
+	if len(m.held) > 0 {
+		m.resume()
+		reports = m.group.askAll(lookLimit, status)
+	}
+	m.adopt(reports)
+}
+
 // newest returns the newest term in reports and whether the primary to be replaced still leads under it.
 func (m *move) newest(reports []report) (term uint64, leads bool) {
 	for _, r := range reports {
@@ -201,11 +228,14 @@
 func (m *move) hold() string {
 	g := m.group
 	term := m.term + 1
-	for _, r := range g.askAll(lookLimit, status) {
+	for _, r := range m.seen {
 		if r.err == nil {
 			term = max(term, r.status.Held+1)
 		}
 	}
+	if why := m.unreachable(); why != "" {
+		return why
+	}
 	reports := g.askAll(holdLimit, func(c *conn, deadline citronusher.Instant) (citronusher.MemberStatus, error) {
 		return c.link.Hold(deadline, term)
 	})
@@ -223,6 +253,19 @@
 	return ""
 }
 
+// unreachable names a member, besides the primary, that does not answer: it could renew a right.
+func (m *move) unreachable() string {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	now := m.group.now()
+	for id, other := range m.group.members {
+		if id != m.primary && !other.replaced && now < other.downUntil {
+			return "member " + id + " does not answer and may renew rights"
+		}
+	}
+	return ""
+}
+
 // resume lets the members receive again.
 func (m *move) resume() {
 	var tasks errgroup.Group
--- a/targets/set.go
+++ b/targets/set.go
@@ -36,6 +36,9 @@
 	Meter *meter.Meter
 }
 
+// daemonsUnknown is how many daemons share the connections while their number is not known.
+const daemonsUnknown = 8
+
 // Set is every group that the daemon serves.
 type Set struct {
 	config Config
@@ -53,7 +56,7 @@
 // New returns a set without groups.
 func New(config Config) *Set {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Set{config: config, ctx: ctx, cancel: cancel, groups: map[string]*Group{}, daemons: 1}
+	return &Set{config: config, ctx: ctx, cancel: cancel, groups: map[string]*Group{}, daemons: daemonsUnknown}
 }
 
 // Apply puts a plan in force.
--- a/targets/watch.go
+++ b/targets/watch.go
@@ -1,6 +1,7 @@
 package targets
 
 import (
+	"errors"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -16,6 +17,7 @@
 	renewIdle   = 3 * time.Second        // without requests for the primary the right is not renewed
 	lookPause   = 120 * time.Millisecond // between two looks for the primary
 	lookLimit   = 300 * time.Millisecond // for one member's answer
+	aliveSpan   = 400 * time.Millisecond // a member that answered so lately is alive
 	silentAfter = 150 * time.Millisecond // a member that leaves a statement unanswered for so long is probed
 	probeLimit  = 250 * time.Millisecond // for a probe's answer
 	warmSpare   = 1                      // idle connections that are opened ahead of need
@@ -52,6 +54,7 @@
 		closeAll(m.takeSurplus(now))
 	}
 	g.moveIfNeeded(now)
+	g.refuseHopeless(now)
 	g.dispatch(now)
 }
 
@@ -85,9 +88,12 @@
 // askAll asks every member at the same time.
 func (g *Group) askAll(limit time.Duration, ask func(*conn, citronusher.Instant) (citronusher.MemberStatus, error)) []report {
 	g.mu.Lock()
+	now := g.now()
 	list := make([]*member, 0, len(g.members))
 	for _, m := range g.members {
-		list = append(list, m)
+		if now >= m.downUntil && !m.replaced {
+			list = append(list, m)
+		}
 	}
 	g.mu.Unlock()
 	reports := make([]report, len(list))
@@ -143,7 +149,7 @@
 		closeConn(c)
 		return
 	}
-	m.heardAt = now
+	g.heard(m, now)
 	c.idleSince = now
 	m.idle = append(m.idle, c)
 	g.dispatch(now)
@@ -202,7 +208,7 @@
 		g.window.Reset()
 	}
 	g.primary, g.right, g.lostAt, g.refused = id, fresh, 0, false
-	leader.member.downUntil = 0
+	g.heard(leader.member, now)
 	g.renewAt = leader.askedAt
 	if fresh.Valid(leader.askedAt) {
 		g.window.Observe(leader.status.Position, leader.askedAt)
@@ -215,6 +221,7 @@
 func (g *Group) noteLost(now citronusher.Instant, refused bool) {
 	if g.lostAt == 0 {
 		g.lostAt = now
+		g.backAt = now.Add(moveSpan)
 	}
 	g.refused = g.refused || refused
 }
@@ -283,10 +290,10 @@
 	return list
 }
 
-// warmIfEmpty opens a connection ahead of need. The caller holds mu.
+// warmIfEmpty opens a connection ahead of need, and looks whether a member that did not answer is back. The caller holds mu.
 func (g *Group) warmIfEmpty(m *member, now citronusher.Instant) {
-	if m.warming || len(m.open) >= m.share || len(m.idle) >= warmSpare || now < m.downUntil || now < m.fullUntil ||
-		m.report.Leaving {
+	enough := len(m.open) >= m.share || len(m.idle) >= warmSpare || m.report.Leaving
+	if m.warming || m.replaced || now < m.downUntil || now < m.fullUntil || enough && !m.down {
 		return
 	}
 	m.warming = true
@@ -339,15 +346,41 @@
 	m.probing = false
 }
 
+// noteDialFailure records that no connection could be opened. A member that answers on other connections is only too busy for
+// another one. The caller holds mu.
+func (g *Group) noteDialFailure(m *member, now citronusher.Instant, err error) {
+	gone := errors.Is(err, citronusher.ErrRefused) || errors.Is(err, citronusher.ErrReplaced)
+	if !gone && now < m.heardAt.Add(aliveSpan) {
+		m.fullUntil = now.Add(fullPause)
+		return
+	}
+	m.replaced = errors.Is(err, citronusher.ErrReplaced)
+	g.markDown(m, now, err)
+}
+
+// heard records that a member answers. The caller holds mu.
+func (g *Group) heard(m *member, now citronusher.Instant) {
+	m.heardAt = now
+	if !m.down {
+		return
+	}
+	m.down = false
+	events.Log(g.set.config.Logger, events.MemberBack, "group", g.name, "member", m.report.ID)
+	if m.report.ID == g.primary && !g.moving {
+		g.lostAt, g.refused = 0, false
+	}
+}
+
 // markDown records that a member does not answer. The caller holds mu.
 func (g *Group) markDown(m *member, now citronusher.Instant, err error) {
-	if now >= m.downUntil {
+	if !m.down {
 		events.Log(g.set.config.Logger, events.ProbeFailed, "group", g.name, "member", m.report.ID, "error", err)
 	}
+	m.down = true
 	m.downUntil = now.Add(downPause)
 	closeAll(m.takeAll())
 	if m.report.ID == g.primary {
-		g.noteLost(now, false)
+		g.noteLost(now, errors.Is(err, citronusher.ErrRefused) || m.replaced)
 	}
 	g.kick()
 }
