targets: a third of the connections stays free for daemons that start anew

Ruled out: the store (all daemons had the plan 30 ms after their start). Change: connections beyond one idle one close after 600 ms; a daemon holds its share of two thirds of a member's connections at most; a member without a free connection may lead, so that nobody claims.

--- a/targets/member.go
+++ b/targets/member.go
@@ -9,13 +9,14 @@
 
 const (
 	dialLimit    = 400 * time.Millisecond
-	idleLimit    = 5 * time.Second         // for idle connections beyond the daemon's even share
+	idleLimit    = 600 * time.Millisecond  // for idle connections beyond the spare ones
 	behindPause  = 40 * time.Millisecond   // before a replica that was behind is asked again
 	fullPause    = 400 * time.Millisecond  // before a member without free connections is asked for another one
 	downPause    = 500 * time.Millisecond  // before a member that did not answer is asked again
 	leavingSpan  = 3500 * time.Millisecond // how long a leaving primary may still be used
 	missingSpan  = 2500 * time.Millisecond // how long a member is kept that lists lack
-	burstDivisor = 2                       // a daemon may hold its even share and this part of the rest for a while
+	shareDivisor = 3                       // this part of the connections is left for daemons that start anew
+	shareLeast   = 2
 )
 
 // conn is an open connection with the session state that it holds.
@@ -34,7 +35,6 @@
 	open    map[*conn]struct{} // idle and busy ones
 	busy    int                // connections that requests hold or open
 	running int                // statements that the member runs for this daemon
-	share   int                // even share of the member's connections
 	limit   int
 
 	heardAt      citronusher.Instant // when the member last answered anything
@@ -55,10 +55,11 @@
 	return &member{report: report, open: map[*conn]struct{}{}}
 }
 
-// setShare divides the member's connections among the daemons.
+// setShare divides the member's connections among the daemons. A part stays free: the connections of daemons that lost power
+// linger, and their successors need some at once.
 func (m *member) setShare(connections, daemons int) {
-	m.share = max(1, connections/daemons)
-	m.limit = m.share + max(0, connections-m.share*daemons)/burstDivisor
+	m.limit = max(shareLeast, (connections-connections/shareDivisor)/daemons)
+	m.limit = min(m.limit, max(1, connections/daemons))
 }
 
 // oldestSent returns when the oldest statement that still runs was sent; 0 when none runs.
@@ -107,10 +108,10 @@
 	return c
 }
 
-// takeSurplus removes and returns the connections that were idle for too long beyond the daemon's share.
+// takeSurplus removes and returns the connections beyond the spare ones that were idle for too long.
 func (m *member) takeSurplus(now citronusher.Instant) []*conn {
 	var surplus []*conn
-	for len(m.idle) > 0 && len(m.open) > m.share && m.idle[0].idleSince.Add(idleLimit) < now {
+	for len(m.idle) > 0 && len(m.idle) > warmSpare && m.idle[0].idleSince.Add(idleLimit) < now {
 		surplus = append(surplus, m.idle[0])
 		delete(m.open, m.idle[0])
 		m.idle = m.idle[1:]
--- a/targets/move.go
+++ b/targets/move.go
@@ -138,6 +138,9 @@
 		m.release(reports)
 		return "the primary answers"
 	}
+	if m.primary == "" && anyBusy(reports) {
+		return "a member that had no time to answer may lead"
+	}
 	g.mu.Lock()
 	patient := g.refused || g.now() > g.lostAt.Add(linkPatience)
 	g.mu.Unlock()
--- a/targets/watch.go
+++ b/targets/watch.go
@@ -178,6 +178,9 @@
 			leader = r
 		}
 	}
+	if leader == nil && anyBusy(reports) {
+		return // the one that has no free connection may lead
+	}
 	if leader == nil || leader.status.Term < g.highest {
 		g.noteLost(now, false)
 		return
@@ -196,6 +199,20 @@
 	g.lead(leader, fresh, now)
 }
 
+// anyBusy reports whether a member lives but had no time or no connection for an answer.
+func anyBusy(reports []report) bool {
+	for _, r := range reports {
+		if r.err == nil {
+			continue
+		}
+		reason := citronusher.AsFailure(r.err).Reason()
+		if reason == citronusher.ReasonLimit || reason == citronusher.ReasonFull {
+			return true
+		}
+	}
+	return false
+}
+
 // lead takes over a primary under a right that began now. The caller holds mu.
 func (g *Group) lead(leader *report, fresh right.Right, now citronusher.Instant) {
 	id := leader.member.report.ID
@@ -292,7 +309,7 @@
 
 // warmIfEmpty opens a connection ahead of need, and looks whether a member that did not answer is back. The caller holds mu.
 func (g *Group) warmIfEmpty(m *member, now citronusher.Instant) {
-	enough := len(m.open) >= m.share || len(m.idle) >= warmSpare || m.report.Leaving
+	enough := len(m.open) >= m.limit || len(m.idle) >= warmSpare || m.report.Leaving
 	if m.warming || m.replaced || now < m.downUntil || now < m.fullUntil || enough && !m.down {
 		return
 	}
