gateway: scripted scenarios of the whole path against stand-ins of the users' platform

Change: stand-ins of the store, the promotion call, groups whose members speak the line protocol and a scripted caller (standin/users); scenarios in gateway/testdata: statements, failover, dark, held, outage, config, members, leave, full. They found two faults of their own: reports of members were read outside the lock (race), and a write on an idle connection that a crashed member had closed was told unknown; such connections are now dropped before use.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,13 +46,14 @@
 	targets  *targets.Set
 	proxy    *proxy.Proxy
 	health   *http.Server
+	healthAt string
 	ready    atomic.Bool
 	leaving  atomic.Bool
 	ctx      context.Context
 	cancel   context.CancelFunc
 	tasks    errgroup.Group
 
-	mu       sync.Mutex
+	mu sync.Mutex
 }
 
 // New starts a daemon. It becomes ready in the background, once it knows a plan and the members.
@@ -98,6 +99,15 @@
 	return nil
 }
 
+// Entry returns the IP:PORT for callers.
+func (g *Gateway) Entry() string { return g.proxy.Address() }
+
+// Health returns the IP:PORT of the health endpoints.
+func (g *Gateway) Health() string { return g.healthAt }
+
+// Ready reports whether the daemon takes new sessions.
+func (g *Gateway) Ready() bool { return g.ready.Load() && !g.leaving.Load() }
+
 func (g *Gateway) following() *follow.Follower {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -140,9 +150,10 @@
 	if err != nil {
 		return fmt.Errorf("listen for health checks: %w", err)
 	}
+	g.healthAt = listener.Addr().String()
 	mux := http.NewServeMux()
 	mux.HandleFunc("/ready", func(w http.ResponseWriter, _ *http.Request) {
-		if !g.ready.Load() || g.leaving.Load() {
+		if !g.Ready() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
--- /dev/null
+++ b/gateway/script_test.go
@@ -0,0 +1,317 @@
+package gateway_test
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"citronusher.example/citronusher/gateway"
+	"citronusher.example/citronusher/settings"
+	"citronusher.example/citronusher/standin/users"
+)
+
+const (
+	waitLimit = 15 * time.Second
+	copyPause = 60 * time.Millisecond
+)
+
+// script plays a scenario: a platform, daemons before it, and callers.
+type script struct {
+	t        *testing.T
+	platform *users.Platform
+	group    *users.Group
+	daemons  []*gateway.Gateway
+	callers  map[string]*users.Caller
+}
+
+// TestScripts plays the scenarios in testdata. Each file says in its first lines what it shows.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &script{t: t, callers: map[string]*users.Caller{}}
+		t.Cleanup(s.close)
+		datadriven.RunTest(t, path, s.run)
+	})
+}
+
+func (s *script) close() {
+	for _, c := range s.callers {
+		c.Close()
+	}
+	for _, d := range s.daemons {
+		if err := d.Close(); err != nil {
+			s.t.Errorf("close: %v", err)
+		}
+	}
+	if s.platform != nil {
+		s.platform.Close()
+	}
+}
+
+func (s *script) run(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "platform":
+		return s.startPlatform(d)
+	case "daemons":
+		return s.startDaemons(d)
+	case "call":
+		return s.call(d)
+	case "say":
+		return s.say(d)
+	case "do":
+		return s.do(d)
+	default:
+		d.Fatalf(t, "unknown command %s", d.Cmd)
+		return ""
+	}
+}
+
+func millis(t *testing.T, d *datadriven.TestData, name string, otherwise int) time.Duration {
+	t.Helper()
+	value := otherwise
+	d.MaybeScanArgs(t, name, &value)
+	return time.Duration(value) * time.Millisecond
+}
+
+// startPlatform starts a platform with one group of three members and a route of each kind.
+func (s *script) startPlatform(d *datadriven.TestData) string {
+	connections, slots := 16, 2
+	d.MaybeScanArgs(s.t, "connections", &connections)
+	d.MaybeScanArgs(s.t, "slots", &slots)
+	s.platform = users.New(users.Options{
+		Slots: slots, Connections: connections, Lag: millis(s.t, d, "lag", 5), Promotion: millis(s.t, d, "promotion", 400),
+		Work: millis(s.t, d, "work", 1),
+	})
+	group, err := s.platform.AddGroup("group", 3)
+	if err != nil {
+		d.Fatalf(s.t, "%v", err)
+	}
+	s.group = group
+	s.platform.Route("fresh", "primary", "group", 0, 4000)
+	s.platform.Route("own", "read_your_writes", "group", 2500, 4000)
+	s.platform.Route("stale", "bounded_staleness", "group", 1500, 4000)
+	return ""
+}
+
+func daemonSettings(t *testing.T, name, platform string) settings.Settings {
+	t.Helper()
+	s, err := settings.Parse([]byte(fmt.Sprintf(`{
+		"protocol": "line", "name": %q, "domain": "zone", "entry": {"address": "127.0.0.1:0"}, "health": "127.0.0.1:0",
+		"platform": {"store": %q, "promotion": %q}, "drain": "6s",
+	}`, name, platform, platform)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func (s *script) startDaemons(d *datadriven.TestData) string {
+	count, err := strconv.Atoi(d.CmdArgs[0].Key)
+	if err != nil {
+		d.Fatalf(s.t, "%v", err)
+	}
+	logger := slog.New(slog.DiscardHandler)
+	if os.Getenv("CITRONUSHER_LOG") != "" {
+		logger = slog.New(slog.NewTextHandler(os.Stderr, nil))
+	}
+	var started []*gateway.Gateway
+	for range count {
+		name := fmt.Sprintf("d%d", len(s.daemons)+1)
+		g, err := gateway.New(daemonSettings(s.t, name, s.platform.Address()), logger)
+		if err != nil {
+			d.Fatalf(s.t, "%v", err)
+		}
+		s.daemons = append(s.daemons, g)
+		started = append(started, g)
+	}
+	if d.HasArg("unready") {
+		return ""
+	}
+	for _, g := range started {
+		s.until("ready", g.Ready)
+	}
+	return ""
+}
+
+// until waits until condition holds.
+func (s *script) until(what string, condition func() bool) {
+	deadline := time.Now().Add(waitLimit)
+	for !condition() {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("not in time: %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// call opens sessions: each line is a name, a daemon's number and a database.
+func (s *script) call(d *datadriven.TestData) string {
+	var out strings.Builder
+	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+		fields := strings.Fields(line)
+		daemon, err := strconv.Atoi(fields[1])
+		if err != nil {
+			d.Fatalf(s.t, "%v", err)
+		}
+		c, err := users.Call(s.daemons[daemon-1].Entry(), fields[2], fields[0])
+		if err != nil {
+			fmt.Fprintf(&out, "%s: %s\n", fields[0], strings.Join(strings.Fields(err.Error())[:3], " "))
+			continue
+		}
+		s.callers[fields[0]] = c
+	}
+	return out.String()
+}
+
+// say sends statements: each line is a session and a text. It shows rows, a code and the session's state.
+func (s *script) say(d *datadriven.TestData) string {
+	var out strings.Builder
+	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+		name, text, _ := strings.Cut(line, " ")
+		answer, err := s.callers[name].Say(text)
+		if err != nil {
+			fmt.Fprintf(&out, "%s: connection ended\n", line)
+			continue
+		}
+		fmt.Fprintf(&out, "%s: %s\n", line, s.show(answer, !d.HasArg("anyone")))
+	}
+	return out.String()
+}
+
+// show describes an answer. With signed it tells who signed it: the primary or a replica.
+func (s *script) show(a users.Answer, signed bool) string {
+	parts := append([]string{}, a.Rows...)
+	switch {
+	case a.Code != "":
+		parts = append(parts, a.Code)
+	case signed && a.Signature != "-":
+		id, _, _ := strings.Cut(a.Signature, ".")
+		if id == s.group.Primary().ID() {
+			parts = append(parts, "(primary)")
+		} else {
+			parts = append(parts, "(replica)")
+		}
+	}
+	return strings.Join(append(parts, a.State), " ")
+}
+
+// do changes the platform or waits for something, one line each.
+func (s *script) do(d *datadriven.TestData) string {
+	var out strings.Builder
+	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+		fields := strings.Fields(line)
+		if result := s.action(fields); result != "" {
+			fmt.Fprintf(&out, "%s: %s\n", line, result)
+		}
+	}
+	return out.String()
+}
+
+func (s *script) number(text string) int {
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return n
+}
+
+func (s *script) member(text string) *users.Member { return s.group.Member(s.number(text) - 1) }
+
+func (s *script) action(fields []string) string {
+	switch fields[0] {
+	case "crash":
+		s.member(fields[1]).Crash()
+	case "restart":
+		if err := s.member(fields[1]).Restart(); err != nil {
+			s.t.Fatal(err)
+		}
+	case "dark":
+		s.member(fields[1]).Darken(true)
+	case "light":
+		s.member(fields[1]).Darken(false)
+	case "deafen":
+		s.member(fields[1]).Deafen(true)
+	case "leave":
+		s.member(fields[1]).Leave()
+	case "hold":
+		s.member(fields[1]).Hold(uint64(s.number(fields[2]))) //nolint:gosec // small
+	case "lose-answer":
+		s.member(fields[1]).LoseAnswer()
+	case "busy":
+		s.member(fields[1]).Refuse(s.number(fields[2]))
+	case "cut":
+		s.member(fields[1]).Cut(true)
+	case "store":
+		s.platform.Fail(s.number(fields[1]))
+	case "deaf-feeds":
+		s.platform.Deafen(fields[1] == "on")
+	case "garbage":
+		s.platform.PutBytes("servers", "i-garbage", []byte(fields[1]))
+	case "route":
+		s.platform.Route(fields[1], fields[2], "group", 1500, 4000)
+	case "drop-route":
+		s.platform.DropRoute(fields[1])
+	case "occupy":
+		s.platform.Occupy(s.number(fields[1]))
+	case "vacate":
+		s.platform.Occupy(0)
+	case "sleep":
+		time.Sleep(time.Duration(s.number(fields[1])) * time.Millisecond)
+	default:
+		return s.look(fields)
+	}
+	return ""
+}
+
+// look shows or awaits a state.
+func (s *script) look(fields []string) string {
+	switch fields[0] {
+	case "await-primary":
+		m := s.member(fields[1])
+		s.until("primary", func() bool { return s.group.Primary() == m })
+	case "await-new-primary":
+		old := s.group.Primary()
+		s.until("new primary", func() bool { return s.group.Primary() != old })
+	case "await-copies": // until every replica holds the primary's log, and homes ask replicas again that lacked it
+		s.until("copies", s.group.Copied)
+		time.Sleep(copyPause)
+	case "await-ready":
+		s.until("ready", s.daemons[s.number(fields[1])-1].Ready)
+	case "await-write": // until a session's writes succeed again
+		s.until("write", func() bool {
+			a, err := s.callers[fields[1]].Say("WRITE probe x")
+			return err == nil && a.Code == ""
+		})
+	case "ready":
+		return strconv.FormatBool(s.daemons[s.number(fields[1])-1].Ready())
+	case "commits":
+		return strconv.Itoa(s.group.Commits(fields[1]))
+	case "orders":
+		return s.orders()
+	case "pauses":
+		return strconv.Itoa(s.group.Pauses())
+	case "over-cap":
+		return strconv.FormatBool(s.member(fields[1]).Connections() > s.number(fields[2]))
+	default:
+		s.t.Fatalf("unknown action %s", fields[0])
+	}
+	return ""
+}
+
+// orders tells how many promotions were ordered, and whether their tokens rose with each change of holder.
+func (s *script) orders() string {
+	orders := s.platform.Orders()
+	verdict := "tokens rise"
+	for i := 1; i < len(orders); i++ {
+		same := orders[i].Holder == orders[i-1].Holder
+		if orders[i].Token < orders[i-1].Token || !same && orders[i].Token == orders[i-1].Token {
+			verdict = "tokens do not rise"
+		}
+	}
+	return fmt.Sprintf("%d, %s", len(orders), verdict)
+}
--- a/statement.go
+++ b/statement.go
@@ -143,6 +143,8 @@
 	Resume(deadline Instant) error
 	// Demote makes a primary of a term below term a replica.
 	Demote(deadline Instant, term uint64) (MemberStatus, error)
+	// Open reports whether the member has left the connection open, as far as is known here.
+	Open() bool
 	// Close closes the connection at once; whatever it runs is rolled back.
 	Close() error
 }
--- a/targets/hold.go
+++ b/targets/hold.go
@@ -11,6 +11,7 @@
 type Hold struct {
 	group   *Group
 	member  *member
+	id      string
 	conn    *conn
 	primary bool
 	term    uint64
@@ -118,7 +119,7 @@
 		}
 	}
 	g.mu.Lock()
-	h := &Hold{group: g, member: m, conn: c, primary: m.report.ID == g.primary, term: g.right.Term()}
+	h := &Hold{group: g, member: m, id: m.report.ID, conn: c, primary: m.report.ID == g.primary, term: g.right.Term()}
 	g.mu.Unlock()
 	if !h.primary && (t.Need().Primary || !t.Need().Known) {
 		h.Release()
@@ -158,7 +159,7 @@
 func (h *Hold) Term() uint64 { return h.term }
 
 // Member names the member.
-func (h *Hold) Member() string { return h.member.report.ID }
+func (h *Hold) Member() string { return h.id }
 
 // Values returns the session values that the connection holds. The holder may change them.
 func (h *Hold) Values() map[string]string { return h.conn.values }
--- a/targets/member.go
+++ b/targets/member.go
@@ -97,15 +97,20 @@
 	}
 }
 
-// takeIdle returns the idle connection that was used last, or nil.
+// takeIdle returns the idle connection that was used last, or nil. Connections that the member has closed are dropped: what would
+// be sent on them has an unknown outcome.
 func (m *member) takeIdle() *conn {
-	n := len(m.idle)
-	if n == 0 {
-		return nil
+	for len(m.idle) > 0 {
+		n := len(m.idle)
+		c := m.idle[n-1]
+		m.idle = m.idle[:n-1]
+		if c.link.Open() {
+			return c
+		}
+		delete(m.open, c)
+		closeConn(c)
 	}
-	c := m.idle[n-1]
-	m.idle = m.idle[:n-1]
-	return c
+	return nil
 }
 
 // takeSurplus removes and returns the connections beyond the spare ones that were idle for too long.
--- a/targets/move.go
+++ b/targets/move.go
@@ -218,7 +218,7 @@
 	waitDeadline := g.now().Add(catchUpLimit)
 	for g.now() < waitDeadline {
 		for _, r := range g.askAll(holdLimit, status) {
-			if r.err == nil && r.member != primary && !r.member.report.Leaving && !r.status.Position.Less(last.status.Position) {
+			if r.err == nil && r.member != primary && !r.leaving && !r.status.Position.Less(last.status.Position) {
 				return
 			}
 		}
@@ -243,12 +243,12 @@
 		return c.link.Hold(deadline, term)
 	})
 	for _, r := range reports {
-		old := r.member.report.ID == m.primary
+		old := r.id == m.primary
 		switch {
 		case r.err != nil && !old:
-			return "member " + r.member.report.ID + " did not stop receiving: " + r.err.Error()
+			return "member " + r.id + " did not stop receiving: " + r.err.Error()
 		case r.err == nil && r.status.Role == citronusher.RolePrimary && !old:
-			return "member " + r.member.report.ID + " leads"
+			return "member " + r.id + " leads"
 		case r.err == nil && r.status.Role == citronusher.RoleReplica:
 			m.held = append(m.held, r)
 		}
@@ -288,7 +288,7 @@
 	g := m.group
 	list := make([]succession.Member, 0, len(m.held))
 	for _, r := range m.held {
-		list = append(list, succession.Member{ID: r.member.report.ID, Position: r.status.Position, Leaving: r.member.report.Leaving})
+		list = append(list, succession.Member{ID: r.id, Position: r.status.Position, Leaving: r.leaving})
 	}
 	winner, ok := succession.Winner(list)
 	if !ok {
--- a/targets/watch.go
+++ b/targets/watch.go
@@ -80,6 +80,8 @@
 // report is a member's answer to a question.
 type report struct {
 	member  *member
+	id      string
+	leaving bool
 	status  citronusher.MemberStatus
 	askedAt citronusher.Instant
 	err     error
@@ -118,23 +120,23 @@
 ) report {
 	g.mu.Lock()
 	c := m.takeIdle()
+	r := report{member: m, id: m.report.ID, leaving: m.report.Leaving}
 	g.mu.Unlock()
 	deadline := g.now().Add(limit)
 	fresh := c == nil
 	if fresh {
-		var err error
-		if c, err = g.dial(m, deadline); err != nil {
-			return report{member: m, err: err}
+		if c, r.err = g.dial(m, deadline); r.err != nil {
+			return r
 		}
 	}
-	askedAt := g.now()
-	answer, err := question(c, deadline)
+	r.askedAt = g.now()
+	r.status, r.err = question(c, deadline)
 	g.set.config.Meter.Probes().Inc(1)
-	g.returnAsked(m, c, err)
-	if err != nil && !fresh && citronusher.AsFailure(err).Reason() == citronusher.ReasonConnect && g.now() < deadline {
+	g.returnAsked(m, c, r.err)
+	if r.err != nil && !fresh && citronusher.AsFailure(r.err).Reason() == citronusher.ReasonConnect && g.now() < deadline {
 		return g.ask(m, deadline.Sub(g.now()), question) // the idle connection was closed meanwhile
 	}
-	return report{member: m, status: answer, askedAt: askedAt, err: err}
+	return r
 }
 
 // returnAsked gives a connection back after a question.
@@ -215,7 +217,7 @@
 
 // lead takes over a primary under a right that began now. The caller holds mu.
 func (g *Group) lead(leader *report, fresh right.Right, now citronusher.Instant) {
-	id := leader.member.report.ID
+	id := leader.id
 	if id != g.primary || fresh.Term() != g.right.Term() {
 		events.Log(g.set.config.Logger, events.PrimaryKnown, "group", g.name, "member", id, "term", fresh.Term(),
 			"before", g.primary, "position", leader.status.Position.String())
@@ -259,7 +261,7 @@
 		r := g.ask(m, renewLimit, status)
 		g.mu.Lock()
 		verdict := right.Silent
-		if r.err == nil && g.members[m.report.ID] == m && m.report.ID != g.primary {
+		if r.err == nil && g.members[r.id] == m && r.id != g.primary {
 			verdict = g.right.Report(r.status, r.askedAt)
 			m.position = m.position.Max(r.status.Position)
 		}
@@ -281,7 +283,7 @@
 	g.renewAt = r.askedAt
 	if verdict == right.Superseded {
 		events.Log(g.set.config.Logger, events.RightClosed, "group", g.name, "term", g.right.Term(), "member",
-			r.member.report.ID, "held", r.status.Held, "newer", r.status.Term)
+			r.id, "held", r.status.Held, "newer", r.status.Term)
 		g.kick()
 	}
 	g.wake()
