--- /dev/null
+++ b/succession/succession_test.go
@@ -0,0 +1,82 @@
+package succession_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/succession"
+)
+
+// TestWinner plays the choice of the member that follows: each line is a member with its term and offset.
+func TestWinner(t *testing.T) {
+	datadriven.RunTest(t, "testdata/winner.txt", func(t *testing.T, d *datadriven.TestData) string {
+		var members []succession.Member
+		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+			if line == "" {
+				continue
+			}
+			fields := strings.Fields(line)
+			branches, err := citronusher.ParseBranches(fields[1])
+			if err != nil {
+				t.Fatal(err)
+			}
+			members = append(members, succession.Member{
+				ID: fields[0], Position: citronusher.NewPosition(branches[0].Term(), branches[0].Start()),
+				Leaving: len(fields) > 2,
+			})
+		}
+		winner, ok := succession.Winner(members)
+		if !ok {
+			return "nobody\n"
+		}
+		return winner + "\n"
+	})
+}
+
+// TestClaimsExclude checks that a claim can be taken over only after its end, and that its holder orders early enough.
+func TestClaimsExclude(t *testing.T) {
+	held := succession.Next(citronusher.Claim{StoreMillis: 1000}, "d1")
+	held.StoreMillis = 1000
+	if succession.Open(held, "d2") {
+		t.Error("d2 may replace a claim that d1 just made")
+	}
+	if !succession.Open(held, "d1") {
+		t.Error("d1 may not renew its own claim")
+	}
+	held.StoreMillis = 1000 + succession.ClaimSpan.Milliseconds()
+	if !succession.Open(held, "d2") {
+		t.Error("nobody may replace a claim that has ended")
+	}
+	const slowestEffect = 1700 * time.Millisecond
+	if last := succession.OrderDeadline(0); last.Add(slowestEffect) > citronusher.Instant(succession.ClaimSpan) {
+		t.Errorf("an order at %v may take effect after the claim's end", last)
+	}
+}
+
+// TestLoss checks when a lost primary is replaced.
+func TestLoss(t *testing.T) {
+	at := func(ms int) citronusher.Instant {
+		return citronusher.Instant(0).Add(time.Duration(ms) * time.Millisecond)
+	}
+	for _, c := range []struct {
+		name string
+		loss succession.Loss
+		now  int
+		due  bool
+	}{
+		{"not lost", succession.Loss{Known: true}, 5000, false},
+		{"refused, just now", succession.Loss{Since: at(1000), Refused: true, Known: true}, 1010, false},
+		{"refused", succession.Loss{Since: at(1000), Refused: true, Known: true}, 1060, true},
+		{"silent", succession.Loss{Since: at(1000), Known: true}, 1110, true},
+		{"never known, just now", succession.Loss{Since: at(1000)}, 1500, false},
+		{"never known", succession.Loss{Since: at(1000)}, 1800, true},
+	} {
+		if got := c.loss.Due(at(c.now)); got != c.due {
+			t.Errorf("%s: due %t", c.name, got)
+		}
+	}
+}
