right, peer: daemons give their rights up when a promotion begins

Change: after the replicas stopped, the promoter asks every registered daemon to give its right up and orders at once when all did or do not run; otherwise it waits as before. Rights last 1.5 s and are renewed each 900 ms. A daemon uses rights only once it is registered. Answers to questions sent before a right was given up do not count; the model check covers that and finds the fault without it.

--- a/events/events.go
+++ b/events/events.go
@@ -40,6 +40,8 @@
 	RightClosed        Event = 417
 	MoveEnded          Event = 418
 	MemberBack         Event = 419
+	RightYielded       Event = 420
+	YieldMissing       Event = 421
 	SignInRefused      Event = 501
 	CallerFailed       Event = 502
 	RequestUnknown     Event = 503
@@ -88,6 +90,8 @@
 	RightClosed:        {slog.LevelInfo, "right to use the primary was closed by a newer term"},
 	MoveEnded:          {slog.LevelInfo, "promotion was given up"},
 	MemberBack:         {slog.LevelInfo, "member answers again"},
+	RightYielded:       {slog.LevelInfo, "right to use the primary was given up for another daemon"},
+	YieldMissing:       {slog.LevelWarn, "a daemon did not give its right up; waiting until it expires"},
 	SignInRefused:      {slog.LevelWarn, "caller's sign-in was refused"},
 	CallerFailed:       {slog.LevelDebug, "caller's connection failed"},
 	RequestUnknown:     {slog.LevelWarn, "request ended with an unknown outcome"},
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -38,6 +38,10 @@
 	Members func([]citronusher.MemberReport)
 	// Instances receives each list of daemons.
 	Instances func([]citronusher.Instance)
+	// Registered is called once the other daemons can find this one.
+	Registered func()
+	// Peers reaches the other daemons.
+	Peers citronusher.Peers
 	// Logger receives the events.
 	Logger *slog.Logger
 	// Meter counts.
@@ -54,8 +58,11 @@
 	plan    atomic.Pointer[citronusher.Plan]
 	members atomic.Bool
 
-	mu   sync.Mutex
-	down map[string]bool // the parts that do not get answers
+	mu        sync.Mutex
+	down      map[string]bool // the parts that do not get answers
+	instances []citronusher.Instance
+	list      []citronusher.MemberReport // the members that are in force
+	listedAt  time.Time                  // when they were listed, here or at another daemon
 }
 
 // New starts following.
@@ -134,6 +141,7 @@
 			events.Log(f.config.Logger, events.DocumentRefused, "error", err)
 			wait = nextPause(wait)
 		case err != nil:
+			f.learn()
 			wait = nextPause(wait)
 		default:
 			known, wait = true, planPause
@@ -149,6 +157,8 @@
 
 // apply puts a plan in force unless it is older than the one in force.
 func (f *Follower) apply(plan citronusher.Plan) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	before := f.Plan().Version
 	if plan.Version <= before {
 		return
@@ -159,6 +169,18 @@
 	f.config.Plan(plan)
 }
 
+// setMembers puts a list of members in force unless a later one is.
+func (f *Follower) setMembers(members []citronusher.MemberReport, listedAt time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !listedAt.After(f.listedAt) {
+		return
+	}
+	f.list, f.listedAt = members, listedAt
+	f.config.Members(members)
+	f.members.Store(true)
+}
+
 func (f *Follower) followMembers() {
 	wait := time.Duration(0)
 	for f.ctx.Err() == nil {
@@ -166,8 +188,7 @@
 		f.note("members", err)
 		if err == nil {
 			wait = memberPause
-			f.config.Members(members)
-			f.members.Store(true)
+			f.setMembers(members, time.Now())
 		} else {
 			wait = nextPause(wait)
 		}
@@ -190,6 +211,9 @@
 		if !registered {
 			err = f.config.Store.Register(f.ctx, f.config.Self)
 			registered = err == nil
+			if registered {
+				f.config.Registered()
+			}
 		}
 		var instances []citronusher.Instance
 		if err == nil {
@@ -201,6 +225,9 @@
 			if len(early) > 0 {
 				wait, early = early[0], early[1:]
 			}
+			f.mu.Lock()
+			f.instances = instances
+			f.mu.Unlock()
 			f.config.Instances(instances)
 		} else {
 			wait = nextPause(wait)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"citronusher.example/citronusher/events"
 	"citronusher.example/citronusher/follow"
 	"citronusher.example/citronusher/meter"
+	"citronusher.example/citronusher/peer"
 	"citronusher.example/citronusher/platform/line"
 	"citronusher.example/citronusher/platform/store"
 	"citronusher.example/citronusher/proxy"
@@ -45,6 +46,7 @@
 	follower *follow.Follower
 	targets  *targets.Set
 	proxy    *proxy.Proxy
+	peers    *peer.GroupServer
 	health   *http.Server
 	healthAt string
 	ready    atomic.Bool
@@ -65,7 +67,7 @@
 	g.store = store.NewStore(g.client, g.logger)
 	g.targets = targets.New(targets.Config{
 		Self: s.Name(), Domain: s.Domain(), Dialer: line.NewDialer(clock), Store: g.store,
-		Promoter: store.NewPromoter(s.Promotion(), s.Name()), Refresh: g.refresh, Timer: clock, Logger: g.logger, Meter: g.meter,
+		Peers: peer.GroupClient{}, Promoter: store.NewPromoter(s.Promotion(), s.Name()), Refresh: g.refresh, Timer: clock, Logger: g.logger, Meter: g.meter,
 	})
 	if err := g.start(clock); err != nil {
 		return nil, errors.Join(err, g.Close())
@@ -81,6 +83,10 @@
 		return err
 	}
 	var err error
+	g.peers, err = peer.NewGroupServer(s.Peer(), g)
+	if err != nil {
+		return err
+	}
 	g.proxy, err = proxy.New(proxy.Config{
 		Address: s.Entry(), Protocol: func(conn net.Conn) citronusher.Caller { return line.NewCaller(conn) },
 		Plan: g.plan, Targets: g.targets, Timer: clock, Logger: g.logger, Meter: g.meter,
@@ -91,10 +97,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.follower = follow.New(follow.Config{
-		Self:  citronusher.NewInstance(s.Name(), s.Peer(), s.Domain(), citronusher.InstanceLive),
+		Self:  citronusher.NewInstance(s.Name(), g.peers.Address(), s.Domain(), citronusher.InstanceLive),
 		Store: g.store, Plan: g.targets.Apply, Members: g.targets.SetMembers,
-		Instances: func(list []citronusher.Instance) { g.targets.SetDaemons(len(list)) },
-		Logger:    g.logger, Meter: g.meter,
+		Instances:  func(list []citronusher.Instance) { g.targets.SetDaemons(len(list)) },
+		Registered: g.targets.SetKnown, Peers: peer.GroupClient{}, Logger: g.logger, Meter: g.meter,
 	})
 	return nil
 }
@@ -114,6 +120,17 @@
 	return g.follower
 }
 
+// Yield gives up the right to a group's primary for another daemon.
+func (g *Gateway) Yield(group string, term uint64) { g.targets.Yield(group, term) }
+
+// Learn tells another daemon what this one knows.
+func (g *Gateway) Learn(version uint64) citronusher.Knowledge {
+	if f := g.following(); f != nil {
+		return f.Knowledge(version)
+	}
+	return citronusher.Knowledge{}
+}
+
 func (g *Gateway) plan() citronusher.Plan {
 	if f := g.following(); f != nil {
 		return f.Plan()
@@ -221,6 +238,9 @@
 		errs = append(errs, f.Close())
 	}
 	errs = append(errs, g.targets.Close())
+	if g.peers != nil {
+		errs = append(errs, g.peers.Close())
+	}
 	if g.health != nil {
 		errs = append(errs, g.health.Close())
 	}
--- /dev/null
+++ b/peer/group.go
@@ -0,0 +1,137 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+	"golang.org/x/sync/errgroup"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/peer/peerpb"
+)
+
+// groupDial is how long a connection to a daemon before the same groups may take.
+const groupDial = 200 * time.Millisecond
+
+// GroupHandler is what a daemon does for the daemons before the same groups.
+type GroupHandler interface {
+	// Yield gives up the rights to primaries of a group up to a term.
+	Yield(group string, term uint64)
+	// Learn returns what the daemon knows that is newer than the plan's version.
+	Learn(version uint64) citronusher.Knowledge
+}
+
+// GroupServer answers the daemons before the same groups.
+type GroupServer struct {
+	handler  GroupHandler
+	listener net.Listener
+	http     *http.Server
+	tasks    errgroup.Group
+}
+
+// NewGroupServer starts listening at the IP:PORT address.
+func NewGroupServer(address string, handler GroupHandler) (*GroupServer, error) {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	s := &GroupServer{handler: handler, listener: listener}
+	mux := http.NewServeMux()
+	mux.Handle(peerpb.NewGroupServiceHandler(s, connect.WithReadMaxBytes(maxBody)))
+	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerLimit}
+	s.tasks.Go(func() error {
+		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return s, nil
+}
+
+// Address returns the IP:PORT that the server listens on.
+func (s *GroupServer) Address() string { return s.listener.Addr().String() }
+
+// Yield gives the daemon's rights up.
+func (s *GroupServer) Yield(
+	_ context.Context, request *connect.Request[peerpb.YieldRequest],
+) (*connect.Response[peerpb.YieldResponse], error) {
+	s.handler.Yield(request.Msg.GetGroup(), request.Msg.GetTerm())
+	return connect.NewResponse(&peerpb.YieldResponse{}), nil
+}
+
+// Learn tells what the daemon knows.
+func (s *GroupServer) Learn(
+	_ context.Context, request *connect.Request[peerpb.LearnRequest],
+) (*connect.Response[peerpb.LearnResponse], error) {
+	known := s.handler.Learn(request.Msg.GetVersion())
+	answer := &peerpb.LearnResponse{Age: known.Age.Milliseconds()}
+	var err error
+	if known.Plan.Version > request.Msg.GetVersion() {
+		if answer.Plan, err = json.Marshal(known.Plan); err != nil {
+			return nil, connect.NewError(connect.CodeInternal, err)
+		}
+	}
+	if answer.Members, err = json.Marshal(known.Members); err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(answer), nil
+}
+
+// Close stops the server and waits.
+func (s *GroupServer) Close() error { return errors.Join(s.http.Close(), s.tasks.Wait()) }
+
+// GroupClient calls the daemons before the same groups.
+type GroupClient struct{}
+
+// call returns a client for one call on a connection of its own: an older one may have gone silent.
+func (GroupClient) call(instance citronusher.Instance) (peerpb.GroupServiceClient, func()) {
+	dialer := &net.Dialer{Timeout: groupDial}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	client := peerpb.NewGroupServiceClient(&http.Client{Transport: transport}, "http://"+instance.Peer())
+	return client, transport.CloseIdleConnections
+}
+
+// Yield asks a daemon to give its rights up. Its error wraps ErrRefused when the daemon does not run: it then has none.
+func (c GroupClient) Yield(ctx context.Context, instance citronusher.Instance, group string, claim citronusher.Claim, term uint64) error {
+	client, done := c.call(instance)
+	defer done()
+	_, err := client.Yield(ctx, connect.NewRequest(&peerpb.YieldRequest{
+		Group: group, Term: term, Holder: claim.Holder, Token: claim.Token,
+	}))
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return fmt.Errorf("%w: daemon %s", citronusher.ErrRefused, instance.Name())
+	}
+	if err != nil {
+		return fmt.Errorf("%w: daemon %s: %w", citronusher.ErrUnavailable, instance.Name(), err)
+	}
+	return nil
+}
+
+// Learn asks a daemon what it knows. Its error wraps ErrUnavailable or ErrInvalid.
+func (c GroupClient) Learn(
+	ctx context.Context, instance citronusher.Instance, version uint64,
+) (citronusher.Knowledge, error) {
+	client, done := c.call(instance)
+	defer done()
+	response, err := client.Learn(ctx, connect.NewRequest(&peerpb.LearnRequest{Version: version}))
+	if err != nil {
+		return citronusher.Knowledge{}, fmt.Errorf("%w: daemon %s: %w", citronusher.ErrUnavailable, instance.Name(), err)
+	}
+	known := citronusher.Knowledge{Age: time.Duration(response.Msg.GetAge()) * time.Millisecond}
+	if body := response.Msg.GetPlan(); len(body) > 0 {
+		if err := json.Unmarshal(body, &known.Plan); err != nil {
+			return known, fmt.Errorf("%w: plan of daemon %s: %w", citronusher.ErrInvalid, instance.Name(), err)
+		}
+	}
+	if err := json.Unmarshal(response.Msg.GetMembers(), &known.Members); err != nil {
+		return known, fmt.Errorf("%w: members of daemon %s: %w", citronusher.ErrInvalid, instance.Name(), err)
+	}
+	return known, nil
+}
--- a/plan.go
+++ b/plan.go
@@ -114,3 +114,21 @@
 	// Promote orders it on behalf of the claim. When it returns, no order of this call is still under way.
 	Promote(ctx context.Context, group, member string, claim Claim) error
 }
+
+// Knowledge is what one daemon tells another one while the store does not answer it.
+type Knowledge struct {
+	// Plan is the plan that it has in force; without a version when it is not newer than the asker's.
+	Plan Plan
+	// Members are the members that it knows, and Age is how long ago they were listed.
+	Members []MemberReport
+	Age     time.Duration
+}
+
+// Peers reaches the other daemons before the same groups.
+type Peers interface {
+	// Yield makes a daemon give up its rights to a group's primaries up to term, on behalf of claim. Its error wraps ErrRefused
+	// when the daemon does not run, and ErrUnavailable when it did not answer.
+	Yield(ctx context.Context, instance Instance, group string, claim Claim, term uint64) error
+	// Learn returns what a daemon knows, and its plan if that is newer than version. Its error wraps ErrUnavailable.
+	Learn(ctx context.Context, instance Instance, version uint64) (Knowledge, error)
+}
--- a/right/right.go
+++ b/right/right.go
@@ -2,7 +2,7 @@
 //
 // A right is a lease of a term. It is renewed by the answer of a replica that still receives under the term: a daemon that
 // promotes another member first makes every replica stop receiving, and then waits until rights that were renewed before
-// have expired. Deadlines count from when a question was sent, on a clock that runs while a machine is suspended. The package
+// have expired or were given up. Deadlines count from when a question was sent, on a clock that runs while a machine is suspended. The package
 // asks nobody and starts nothing.
 package right
 
@@ -13,7 +13,7 @@
 )
 
 // Span is how long a right lasts after the question that renewed it was sent.
-const Span = 900 * time.Millisecond
+const Span = 1500 * time.Millisecond
 
 // Verdict is what a member's report says about a right.
 type Verdict int
@@ -31,11 +31,18 @@
 type Right struct {
 	term     uint64
 	deadline citronusher.Instant
+	after    citronusher.Instant // reports that were asked for until then do not count
 	closed   bool
 }
 
 // Begin makes r a right of term that a report has yet to renew.
-func (r *Right) Begin(term uint64) { *r = Right{term: term} }
+func (r *Right) Begin(term uint64) { *r = Right{term: term, after: r.after} }
+
+// Yield gives the right up. Answers to questions that were sent until now renew no right any more.
+func (r *Right) Yield(now citronusher.Instant) {
+	r.closed = true
+	r.after = max(r.after, now)
+}
 
 // Term returns the term that the right is for; 0 when there is none.
 func (r *Right) Term() uint64 { return r.term }
@@ -58,16 +65,9 @@
 		r.closed = true
 		return Superseded
 	}
-	if status.Role != citronusher.RoleReplica || status.Term != r.term || r.term == 0 {
+	if status.Role != citronusher.RoleReplica || status.Term != r.term || r.term == 0 || askedAt <= r.after {
 		return Silent
 	}
 	r.deadline = max(r.deadline, askedAt.Add(Span))
 	return Renewed
 }
-
-// Extend takes a renewal that another daemon received; deadline is on this daemon's clock.
-func (r *Right) Extend(term uint64, deadline citronusher.Instant) {
-	if term == r.term && !r.closed {
-		r.deadline = max(r.deadline, deadline)
-	}
-}
--- a/right/right_test.go
+++ b/right/right_test.go
@@ -46,6 +46,8 @@
 					right.Renewed: "renewed", right.Silent: "proves nothing", right.Superseded: "superseded",
 				}
 				fmt.Fprintf(&out, "%s: %s\n", line, verdicts[r.Report(status, at(number(t, fields[5])))])
+			case "yield":
+				r.Yield(at(number(t, fields[1])))
 			case "valid":
 				fmt.Fprintf(&out, "%s: %t\n", line, r.Valid(at(number(t, fields[2]))))
 			}
--- a/succession/model_test.go
+++ b/succession/model_test.go
@@ -9,10 +9,10 @@
 	"citronusher.example/citronusher/succession"
 )
 
-// The model has one tick for the least time that a promotion takes. A right lasts three of them.
+// The model has one tick for the least time that a promotion takes. A right lasts five of them.
 const (
 	tick     = 300 * time.Millisecond
-	horizon  = 9 // ticks explored
+	horizon  = 8 // ticks explored
 	replicas = 2
 	users    = 1
 )
@@ -33,6 +33,8 @@
 	asks   [users]question
 	stage  int8 // how many replicas the promoter has stopped
 	ackAt  int8 // when the last one's answer reached the promoter; -1 before
+	asked  bool // the promoter asked the daemon to give its right up
+	gave   bool // and the daemon did
 	effect int8 // when the promotion takes effect; -1 while it was not ordered
 }
 
@@ -41,6 +43,7 @@
 	all      bool // every replica is stopped, not only one
 	wait     bool // the order waits until rights have expired
 	sentTime bool // rights count from when the question was sent, not from when the answer came
+	forget   bool // a daemon that gave its right up takes no answers to earlier questions
 }
 
 func at(ticks int8) citronusher.Instant {
@@ -111,13 +114,28 @@
 	if s.stage == toStop && s.ackAt < 0 {
 		add(func(n *state) { n.ackAt = n.now })
 	}
+	if s.ackAt >= 0 && !s.asked {
+		add(func(n *state) { n.asked = true })
+	}
+	if s.asked && !s.gave {
+		add(func(n *state) { n.giveUp(p) })
+	}
 	mayOrder := s.ackAt >= 0 && s.effect < 0
-	if mayOrder && (!p.wait || at(s.now) >= succession.OrderAt(at(s.ackAt))) {
+	if mayOrder && (!p.wait || at(s.now) >= succession.OrderAt(at(s.ackAt), s.gave)) {
 		add(func(n *state) { n.effect = n.now + 1 }) // later effects are covered by later orders
 	}
 	return all
 }
 
+// giveUp makes the daemon give its right up. It may look for the primary again at once.
+func (s *state) giveUp(p protections) {
+	s.gave = true
+	if p.forget {
+		s.rights[0].Yield(at(s.now))
+	}
+	s.rights[0].Begin(1)
+}
+
 // userEvents returns what a daemon that uses the primary may do or learn next.
 func (s state) userEvents(u int, p protections) []state {
 	var all []state
@@ -149,13 +167,14 @@
 
 // TestModel explores promotions and rights. No order of events breaks them; each protection taken out is missed.
 func TestModel(t *testing.T) {
-	if s := explore(protections{all: true, wait: true, sentTime: true}); s != nil {
+	if s := explore(protections{all: true, wait: true, sentTime: true, forget: true}); s != nil {
 		t.Errorf("two primaries are used at once: %+v", *s)
 	}
 	for name, p := range map[string]protections{
-		"one replica is stopped":      {wait: true, sentTime: true},
-		"the order does not wait":     {all: true, sentTime: true},
-		"rights count from an answer": {all: true, wait: true},
+		"one replica is stopped":      {wait: true, sentTime: true, forget: true},
+		"the order does not wait":     {all: true, sentTime: true, forget: true},
+		"rights count from an answer": {all: true, wait: true, forget: true},
+		"earlier answers are taken":   {all: true, wait: true, sentTime: true},
 	} {
 		if explore(p) == nil {
 			t.Errorf("%s, and the model finds nothing", name)
--- a/succession/succession.go
+++ b/succession/succession.go
@@ -2,8 +2,8 @@
 //
 // One daemon at a time holds the claim on a group, a row that the platform's store changes only under a condition. The claim's
 // token rises with each claim. The holder stops every replica from receiving, so that no right to use the old primary is
-// renewed any more, waits until the rights have expired, and orders the promotion in the first part of its claim, so that the
-// order has taken effect before anyone else can claim. The package asks nobody and starts nothing.
+// renewed any more, asks every daemon to give its right up, waits until the rights of those that did not answer have expired, and
+// orders the promotion in the first part of its claim, so that the order has taken effect before anyone else can claim. The package asks nobody and starts nothing.
 package succession
 
 import (
@@ -15,9 +15,9 @@
 
 const (
 	// ClaimSpan is how long a claim keeps other daemons from claiming.
-	ClaimSpan = 3 * time.Second
+	ClaimSpan = 4 * time.Second
 	// orderSpan is how long after the claim's request was sent the promotion may be ordered.
-	orderSpan = 1300 * time.Millisecond
+	orderSpan = 2200 * time.Millisecond
 	// effectLeast is how long the platform takes at least from an order to its effect.
 	effectLeast = 300 * time.Millisecond
 	// refusedPatience is how long a primary whose machine refuses connections is waited for.
@@ -65,9 +65,12 @@
 // OrderDeadline returns until when the holder of a claim whose reading was asked for at askedAt may order a promotion.
 func OrderDeadline(askedAt citronusher.Instant) citronusher.Instant { return askedAt.Add(orderSpan) }
 
-// OrderAt returns from when a promotion may be ordered after the last replica stopped receiving at heldAt: when it takes
-// effect, every right that was renewed before has expired.
-func OrderAt(heldAt citronusher.Instant) citronusher.Instant {
+// OrderAt returns from when a promotion may be ordered after the last replica stopped receiving at heldAt: at once when every
+// daemon has given its right up, and otherwise so late that at its effect every right that was renewed before has expired.
+func OrderAt(heldAt citronusher.Instant, yielded bool) citronusher.Instant {
+	if yielded {
+		return heldAt
+	}
 	return heldAt.Add(right.Span - effectLeast)
 }
 
--- a/targets/move.go
+++ b/targets/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -13,6 +14,7 @@
 
 const (
 	moveLimit    = 4 * time.Second        // for a whole promotion
+	yieldLimit   = 300 * time.Millisecond // for a daemon to give its right up
 	holdLimit    = 300 * time.Millisecond // for a replica's answer to the order to stop receiving
 	catchUpLimit = 400 * time.Millisecond // for a replica to receive what a leaving primary has
 	catchUpPause = 15 * time.Millisecond
@@ -294,7 +296,8 @@
 	if !ok {
 		return "no member can follow"
 	}
-	if wait := succession.OrderAt(g.now()).Sub(g.now()); wait > 0 {
+	heldAt := g.now()
+	if wait := succession.OrderAt(heldAt, m.yielded(ctx)).Sub(g.now()); wait > 0 {
 		time.Sleep(wait)
 	}
 	if g.now() > m.deadline {
@@ -309,6 +312,37 @@
 	return m.await(ctx, winner)
 }
 
+// yielded asks every daemon to give its right to the primary up, and reports whether all did. The list of daemons is read after the
+// replicas stopped: a daemon that is not in it can only begin rights later, and no replica renews them any more.
+func (m *move) yielded(ctx context.Context) bool {
+	g := m.group
+	instances, err := g.set.config.Store.Instances(ctx)
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, yieldLimit)
+	defer cancel()
+	var tasks errgroup.Group
+	for _, instance := range instances {
+		tasks.Go(func() error {
+			if instance.Name() == g.set.config.Self {
+				g.yield(m.term)
+				return nil
+			}
+			err := g.set.config.Peers.Yield(ctx, instance, g.name, m.claim, m.term)
+			if errors.Is(err, citronusher.ErrRefused) {
+				return nil // it does not run and holds no right
+			}
+			return err
+		})
+	}
+	if err := tasks.Wait(); err != nil {
+		events.Log(g.set.config.Logger, events.YieldMissing, "group", g.name, "term", m.term, "error", err)
+		return false
+	}
+	return true
+}
+
 // await waits until the promoted member leads and takes it over.
 func (m *move) await(ctx context.Context, winner string) string {
 	g := m.group
--- a/targets/set.go
+++ b/targets/set.go
@@ -24,6 +24,8 @@
 	Dialer citronusher.MemberDialer
 	// Store keeps the claims of promotions.
 	Store citronusher.Store
+	// Peers reaches the other daemons.
+	Peers citronusher.Peers
 	// Promoter orders promotions.
 	Promoter citronusher.Promoter
 	// Refresh asks for the members' newest reports, soon.
@@ -51,6 +53,7 @@
 	plan    citronusher.Plan
 	reports []citronusher.MemberReport
 	daemons int
+	known   bool // the other daemons can find this one, and ask it to give rights up
 }
 
 // New returns a set without groups.
@@ -83,6 +86,26 @@
 	s.update()
 }
 
+// SetKnown allows rights to be used: the daemon is registered, so that whoever promotes a member asks it first.
+func (s *Set) SetKnown() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.known = true
+}
+
+func (s *Set) isKnown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known
+}
+
+// Yield gives up the right to the primary of a group up to a term.
+func (s *Set) Yield(group string, term uint64) {
+	if g, ok := s.Group(group); ok {
+		g.yield(term)
+	}
+}
+
 // update brings the groups in line with the plan and the reports. The caller holds mu.
 func (s *Set) update() {
 	byGroup := map[string][]citronusher.MemberReport{}
--- a/targets/watch.go
+++ b/targets/watch.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	renewAfter  = 400 * time.Millisecond // after the question that renewed the right last
+	renewAfter  = 900 * time.Millisecond // after the question that renewed the right last
 	renewLimit  = 200 * time.Millisecond // for one replica's answer
 	renewIdle   = 3 * time.Second        // without requests for the primary the right is not renewed
 	lookPause   = 120 * time.Millisecond // between two looks for the primary
@@ -159,11 +159,32 @@
 
 // look asks every member and takes over the primary that the answers show.
 func (g *Group) look() {
-	reports := g.askAll(lookLimit, status)
+	known := g.set.isKnown()
+	var reports []report
+	if known {
+		reports = g.askAll(lookLimit, status)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.looking = false
-	g.adopt(reports)
+	if known {
+		g.adopt(reports)
+	}
+}
+
+// yield gives up the right to the primary up to a term, because another daemon is about to replace it.
+func (g *Group) yield(term uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.right.Term() > term {
+		return
+	}
+	now := g.now()
+	g.right.Yield(now)
+	g.noteLost(now, false)
+	events.Log(g.set.config.Logger, events.RightYielded, "group", g.name, "term", g.right.Term())
+	g.kick()
+	g.wake()
 }
 
 // adopt takes over the primary that reports show, if they show one. The caller holds mu.
@@ -187,7 +208,7 @@
 		g.noteLost(now, false)
 		return
 	}
-	var fresh right.Right
+	fresh := g.right // keeps since when reports count
 	fresh.Begin(leader.status.Term)
 	for _, r := range reports {
 		if r.err == nil && r.member != leader.member {
