--- a/events/events.go
+++ b/events/events.go
@@ -42,6 +42,7 @@
 	MemberBack         Event = 419
 	RightYielded       Event = 420
 	YieldMissing       Event = 421
+	RightExpired       Event = 422
 	SignInRefused      Event = 501
 	CallerFailed       Event = 502
 	RequestUnknown     Event = 503
@@ -92,6 +93,7 @@
 	MemberBack:         {slog.LevelInfo, "member answers again"},
 	RightYielded:       {slog.LevelInfo, "right to use the primary was given up for another daemon"},
 	YieldMissing:       {slog.LevelWarn, "a daemon did not give its right up; waiting until it expires"},
+	RightExpired:       {slog.LevelWarn, "right to use the primary expired: no replica renewed it"},
 	SignInRefused:      {slog.LevelWarn, "caller's sign-in was refused"},
 	CallerFailed:       {slog.LevelDebug, "caller's connection failed"},
 	RequestUnknown:     {slog.LevelWarn, "request ended with an unknown outcome"},
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,7 +24,7 @@
 	retryMost     = 1200 * time.Millisecond // the longest pause after a failure
 	memberPause   = 2500 * time.Millisecond // between two lists of members
 	refreshPause  = 400 * time.Millisecond  // between two lists that were asked for
-	instancePause = 15 * time.Second        // between two lists of instances
+	instancePause = 20 * time.Second        // between two lists of instances
 )
 
 // Config holds what following needs.
@@ -207,17 +208,11 @@
 	registered, wait := false, time.Duration(0)
 	early := []time.Duration{time.Second, 2 * time.Second} //nolint:mnd // daemons that start together
 	for f.ctx.Err() == nil {
-		err := error(nil)
+		instances, err := f.config.Store.Instances(f.ctx)
 		if !registered {
-			err = f.config.Store.Register(f.ctx, f.config.Self)
-			registered = err == nil
-			if registered {
-				f.config.Registered()
-			}
-		}
-		var instances []citronusher.Instance
-		if err == nil {
-			instances, err = f.config.Store.Instances(f.ctx)
+			var registerErr error
+			registered, registerErr = f.register(&instances)
+			err = errors.Join(err, registerErr)
 		}
 		f.note("instances", err)
 		if err == nil {
@@ -238,6 +233,21 @@
 	}
 }
 
+// register makes the daemon known to the others, unless an earlier process of the same name and address is in the list. In that
+// case nothing has to be written, which a store that only reads cannot do.
+func (f *Follower) register(instances *[]citronusher.Instance) (bool, error) {
+	if !slices.ContainsFunc(*instances, func(i citronusher.Instance) bool {
+		return i.Name() == f.config.Self.Name() && i.Peer() == f.config.Self.Peer()
+	}) {
+		if err := f.config.Store.Register(f.ctx, f.config.Self); err != nil {
+			return false, err
+		}
+		*instances = append(*instances, f.config.Self)
+	}
+	f.config.Registered()
+	return true, nil
+}
+
 // Close stops following and waits.
 func (f *Follower) Close() error {
 	f.cancel()
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -248,6 +248,8 @@
 		s.member(fields[1]).Cut(true)
 	case "store":
 		s.platform.Fail(s.number(fields[1]))
+	case "part-down":
+		s.platform.FailPart(strings.Join(fields[1:], " "))
 	case "deaf-feeds":
 		s.platform.Deafen(fields[1] == "on")
 	case "garbage":
--- a/standin/users/store.go
+++ b/standin/users/store.go
@@ -26,6 +26,12 @@
 	Gone    bool   `json:"Deleted,omitempty"`
 }
 
+// name identifies the row.
+func (r row) name() string { return r.Table + "/" + r.Part + "/" + r.Key }
+
+// set writes a row. The caller holds mu.
+func (s *Store) set(r row) { s.rows[r.name()] = r }
+
 // Order is one promotion that the platform was asked for.
 type Order struct {
 	// Holder and Token are the fence of the call; Group and Member what it asked for.
@@ -42,8 +48,9 @@
 	rows    map[string]row
 	version uint64
 	changed chan struct{}
-	status  int  // answered to every call while it is not 0
-	deaf    bool // feeds that begin now hear of nothing
+	down    string // a table and part whose calls are refused, as TABLE/PART
+	status  int    // answered to every call while it is not 0
+	deaf    bool   // feeds that begin now hear of nothing
 	orders  []Order
 	promote func(group, member string) int
 }
@@ -92,6 +99,13 @@
 	s.status = status
 }
 
+// FailPart makes the calls for one part of a table be refused, given as TABLE/PART; an empty name ends that.
+func (s *Store) FailPart(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = name
+}
+
 // Deafen makes feeds that begin from now on hear of nothing, until it is called with false.
 func (s *Store) Deafen(deaf bool) {
 	s.mu.Lock()
@@ -133,7 +147,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.rows[table+"/"+key] = row{Table: table, Key: key, Value: value, Version: s.version}
+	s.set(row{Table: table, Key: key, Value: value, Version: s.version})
 	s.wake()
 }
 
@@ -142,7 +156,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.rows[table+"/"+key] = row{Table: table, Key: key, Version: s.version, Gone: true}
+	s.set(row{Table: table, Key: key, Version: s.version, Gone: true})
 	s.wake()
 }
 
@@ -171,9 +185,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q := r.URL.Query()
+	if s.down != "" && s.down == q.Get("Table")+"/"+q.Get("part") {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	var rows []row
 	for _, candidate := range s.rows {
-		in := candidate.Table == q.Get("Table") && candidate.Key >= q.Get("From")
+		in := candidate.Table == q.Get("Table") && candidate.Part == q.Get("part") && candidate.Key >= q.Get("From")
 		if in && !candidate.Gone && (q.Get("To") == "" || candidate.Key < q.Get("To")) {
 			rows = append(rows, candidate)
 		}
@@ -246,8 +264,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, write := range body.Writes {
+		if s.down != "" && s.down == write.Table+"/"+write.Part {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+	}
 	for _, expected := range body.Expected {
-		held := s.rows[expected.Table+"/"+expected.Key]
+		held := s.rows[expected.name()]
 		if held.Gone {
 			held.Version = 0
 		}
@@ -259,11 +283,11 @@
 	s.version++
 	for _, write := range body.Writes {
 		write.Version = s.version
-		s.rows[write.Table+"/"+write.Key] = write
+		s.set(write)
 	}
 	for _, drop := range body.Deletes {
 		drop.Version, drop.Gone = s.version, true
-		s.rows[drop.Table+"/"+drop.Key] = drop
+		s.set(drop)
 	}
 	s.wake()
 	s.answer(w, http.StatusOK, nil)
