targets: requests wait while only this daemon's links are cut

Change: only what a lost primary cannot serve in time is refused at once; an expired right is logged.

--- a/targets/group.go
+++ b/targets/group.go
@@ -16,28 +16,28 @@
 	name string
 	done chan struct{}
 
-	mu          sync.Mutex
-	closed      bool
-	members     map[string]*member
-	right       right.Right
-	primary     string // under the right's term
-	window      right.Window
-	queue       place.Queue
-	waits       map[*place.Ticket]chan grant
-	changed     chan struct{} // closed when the right or the primary changes
-	kicked      chan struct{} // holds a token while the watch has something to do at once
-	usedAt      citronusher.Instant
-	renewAt     citronusher.Instant // when the last renewal was asked for
-	renewing    bool
-	renewFailed bool // no replica renewed the right, and it has expired
-	looking     bool
-	lookedAt    citronusher.Instant
-	lostAt      citronusher.Instant // since when the primary is not reachable; 0 while it is
-	refused     bool                // the primary's machine refuses connections
-	backAt      citronusher.Instant // when a primary that is lost is expected to be replaced
-	moving      bool                // this daemon carries out a promotion
-	deferred    citronusher.Instant // no promotion is begun before
-	highest     uint64              // the highest term that any member told
+	mu        sync.Mutex
+	closed    bool
+	members   map[string]*member
+	right     right.Right
+	primary   string // under the right's term
+	window    right.Window
+	queue     place.Queue
+	waits     map[*place.Ticket]chan grant
+	changed   chan struct{} // closed when the right or the primary changes
+	kicked    chan struct{} // holds a token while the watch has something to do at once
+	usedAt    citronusher.Instant
+	renewAt   citronusher.Instant // when the last renewal was asked for
+	renewing  bool
+	expiredAt citronusher.Instant // when it was last logged that the right expired
+	looking   bool
+	lookedAt  citronusher.Instant
+	lostAt    citronusher.Instant // since when the primary is not reachable; 0 while it is
+	refused   bool                // the primary's machine refuses connections
+	backAt    citronusher.Instant // when a primary that is lost is expected to be replaced
+	moving    bool                // this daemon carries out a promotion
+	deferred  citronusher.Instant // no promotion is begun before
+	highest   uint64              // the highest term that any member told
 }
 
 // grant answers a waiting request.
--- a/targets/hold.go
+++ b/targets/hold.go
@@ -82,26 +82,11 @@
 	}
 }
 
-// hopeless reports whether nothing that this daemon can reach serves the request before its deadline: no member answers, or it
-// needs a primary that is lost or whose right cannot be renewed. Another daemon may be able to. The caller holds mu.
+// hopeless reports whether the request needs a primary that is lost and not expected back before the request's deadline. While only
+// this daemon's links are cut requests wait: the cut may heal, and a caller that was refused at once spends its retries in it. The
+// caller holds mu.
 func (g *Group) hopeless(t *place.Ticket, now citronusher.Instant) bool {
-	if g.unreachable() {
-		return true
-	}
-	if !g.needsPrimary(t) || g.usablePrimary(now) {
-		return false
-	}
-	return g.renewFailed || g.lostAt != 0 && (now > g.backAt || t.Deadline() < g.backAt)
-}
-
-// unreachable reports whether no member answers this daemon. The caller holds mu.
-func (g *Group) unreachable() bool {
-	for _, m := range g.members {
-		if !m.down && !m.replaced {
-			return false
-		}
-	}
-	return len(g.members) > 0
+	return g.needsPrimary(t) && !g.usablePrimary(now) && g.lostAt != 0 && (now > g.backAt || t.Deadline() < g.backAt)
 }
 
 // usablePrimary reports whether requests may go to the primary now. The caller holds mu.
--- a/targets/watch.go
+++ b/targets/watch.go
@@ -247,7 +247,7 @@
 		}
 		g.window.Reset()
 	}
-	g.primary, g.right, g.lostAt, g.refused, g.renewFailed = id, fresh, 0, false, false
+	g.primary, g.right, g.lostAt, g.refused = id, fresh, 0, false
 	g.heard(leader.member, now)
 	g.renewAt = leader.askedAt
 	if fresh.Valid(leader.askedAt) {
@@ -296,15 +296,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.renewing = false
-	if !g.right.Valid(g.now()) && !g.renewFailed {
-		g.renewFailed = true
+	if now := g.now(); !g.right.Valid(now) && now > g.expiredAt.Add(right.Span) {
+		g.expiredAt = now
 		events.Log(g.set.config.Logger, events.RightExpired, "group", g.name, "term", g.right.Term(), "primary", g.primary)
 	}
 }
 
 // finishRenewal records a decisive answer. The caller holds mu.
 func (g *Group) finishRenewal(verdict right.Verdict, r report) {
-	g.renewing, g.renewFailed = false, false
+	g.renewing = false
 	g.renewAt = r.askedAt
 	if verdict == right.Superseded {
 		events.Log(g.set.config.Logger, events.RightClosed, "group", g.name, "term", g.right.Term(), "member",
