events, story: bounded logs that never block, one line per decision, and the log command

Cause: a failed request could not be traced: its line named neither group nor member, retries left no line, and a reader of standard output that stalls would have blocked the daemon. Change: a writer with a bounded buffer and rate that counts and tells dropped lines; lines for failed, retried and late requests with group, member, term, position and tries; gauges, stage and profile latencies, metrics as text; citronusher log joins daemons' logs into one request's or one belief's story. pg: statement kinds are told apart in the PostgreSQL packages only; homes hold no pattern on SQL any more.

--- a/cmd/citronusherd/main.go
+++ b/cmd/citronusherd/main.go
@@ -2,12 +2,14 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
 
 	"github.com/alecthomas/kong"
 
+	"citronusher.example/citronusher/events"
 	"citronusher.example/citronusher/gateway"
 	"citronusher.example/citronusher/settings"
 )
@@ -35,9 +37,10 @@
 	if err := level.UnmarshalText([]byte(s.Log())); err != nil {
 		return fmt.Errorf("log level: %w", err)
 	}
-	options := &slog.HandlerOptions{Level: level}
 	if s.Protocol() == settings.ProtocolLine {
-		return gateway.Run(path, s, slog.New(slog.NewJSONHandler(os.Stdout, options)))
+		writer := events.NewWriter(os.Stdout)
+		err := gateway.Run(path, s, events.NewLogger(writer, level), writer.Dropped)
+		return errors.Join(err, writer.Close())
 	}
-	return runPostgres(s, slog.New(slog.NewJSONHandler(os.Stderr, options)))
+	return runPostgres(s, events.NewLogger(os.Stderr, level))
 }
--- a/entry/collect.go
+++ b/entry/collect.go
@@ -9,6 +9,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/pg"
 )
 
 const (
@@ -46,9 +47,9 @@
 	switch m := message.(type) {
 	case *pgproto3.Query:
 		c.text = m.String
-		return true, c.append(citronusher.StepQuery, "", m)
+		return true, c.append(pg.StepQuery, "", m)
 	case *pgproto3.Sync:
-		return true, c.append(citronusher.StepSync, "", m)
+		return true, c.append(pg.StepSync, "", m)
 	case *pgproto3.Flush:
 		c.exchange.Partial = true
 		return len(c.exchange.Steps) > 0, nil
@@ -60,11 +61,11 @@
 			return false, err
 		}
 		m.PreparedStatement = name
-		return false, c.append(citronusher.StepBind, name, m)
+		return false, c.append(pg.StepBind, name, m)
 	case *pgproto3.Describe:
 		return false, c.addDescribe(m, statements)
 	case *pgproto3.Execute:
-		return false, c.append(citronusher.StepExecute, "", m)
+		return false, c.append(pg.StepExecute, "", m)
 	case *pgproto3.Close:
 		return false, c.addClose(m, statements)
 	default:
@@ -77,10 +78,24 @@
 	if err != nil {
 		return fmt.Errorf("encode: %w", err)
 	}
-	c.exchange.Steps = append(c.exchange.Steps, citronusher.Step{Kind: kind, Name: name, Raw: raw})
+	c.exchange.Steps = append(c.exchange.Steps, citronusher.Step{
+		Statement: statementKind(message), Kind: kind, Name: name, Raw: raw,
+	})
 	return nil
 }
 
+// statementKind returns what the statement in a message does.
+func statementKind(message pgproto3.FrontendMessage) citronusher.StatementKind {
+	switch m := message.(type) {
+	case *pgproto3.Query:
+		return pg.StatementKind(m.String)
+	case *pgproto3.Parse:
+		return pg.StatementKind(m.Query)
+	default:
+		return citronusher.StatementOther
+	}
+}
+
 // sharedName returns the name of a statement among all callers.
 func sharedName(m *pgproto3.Parse) string {
 	var hash xxhash.Digest
@@ -98,7 +113,7 @@
 		c.text = m.Query
 	}
 	m.Name = sharedName(m)
-	if err := c.append(citronusher.StepParse, m.Name, m); err != nil {
+	if err := c.append(pg.StepParse, m.Name, m); err != nil {
 		return err
 	}
 	statements[own] = c.exchange.Steps[len(c.exchange.Steps)-1]
@@ -120,7 +135,7 @@
 		c.text = parse.Query
 	}
 	for _, step := range c.exchange.Steps {
-		if step.Kind == citronusher.StepParse && step.Name == definition.Name {
+		if step.Kind == pg.StepParse && step.Name == definition.Name {
 			return definition.Name, nil
 		}
 	}
@@ -130,24 +145,24 @@
 
 func (c *collector) addDescribe(m *pgproto3.Describe, statements map[string]citronusher.Step) error {
 	if m.ObjectType != 'S' {
-		return c.append(citronusher.StepDescribe, "", m)
+		return c.append(pg.StepDescribe, "", m)
 	}
 	name, err := c.use(m.Name, statements)
 	if err != nil {
 		return err
 	}
 	m.Name = name
-	return c.append(citronusher.StepDescribe, name, m)
+	return c.append(pg.StepDescribe, name, m)
 }
 
 // addClose forgets a caller's statement. Target connections keep the shared one, so the step's name makes the home
 // answer it without asking the target.
 func (c *collector) addClose(m *pgproto3.Close, statements map[string]citronusher.Step) error {
 	if m.ObjectType != 'S' {
-		return c.append(citronusher.StepClose, "", m)
+		return c.append(pg.StepClose, "", m)
 	}
 	delete(statements, m.Name)
-	return c.append(citronusher.StepClose, "closed", m)
+	return c.append(pg.StepClose, "closed", m)
 }
 
 // firstWord returns a statement's first word in lower case.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -68,13 +68,13 @@
 	for _, step := range r.Exchange.Steps {
 		var m pgproto3.BackendMessage
 		switch step.Kind {
-		case citronusher.StepParse:
+		case pg.StepParse:
 			m = &pgproto3.ParseComplete{}
-		case citronusher.StepBind:
+		case pg.StepBind:
 			m = &pgproto3.BindComplete{}
-		case citronusher.StepDescribe:
+		case pg.StepDescribe:
 			m = &pgproto3.NoData{}
-		case citronusher.StepQuery, citronusher.StepExecute:
+		case pg.StepQuery, pg.StepExecute:
 			m = &pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")}
 		default:
 			continue
--- a/entry/local.go
+++ b/entry/local.go
@@ -113,18 +113,18 @@
 	for _, step := range exchange.Steps {
 		var messages []pgproto3.BackendMessage
 		switch step.Kind {
-		case citronusher.StepQuery:
+		case pg.StepQuery:
 			messages = append(messages, answer.rows...)
 			messages = append(messages, &pgproto3.CommandComplete{CommandTag: []byte(answer.tag)})
-		case citronusher.StepParse:
+		case pg.StepParse:
 			messages = append(messages, &pgproto3.ParseComplete{})
-		case citronusher.StepBind:
+		case pg.StepBind:
 			messages = append(messages, &pgproto3.BindComplete{})
-		case citronusher.StepClose:
+		case pg.StepClose:
 			messages = append(messages, &pgproto3.CloseComplete{})
-		case citronusher.StepDescribe:
+		case pg.StepDescribe:
 			messages = describeLocal(step, answer)
-		case citronusher.StepExecute:
+		case pg.StepExecute:
 			if len(answer.rows) > 0 {
 				messages = append(messages, answer.rows[1:]...)
 			}
--- a/entry/run.go
+++ b/entry/run.go
@@ -24,7 +24,7 @@
 		s.exchange.skip = exchange.Partial
 		return s.finish(exchange.Partial)
 	}
-	if len(exchange.Steps) == 1 && exchange.Steps[0].Kind == citronusher.StepSync && !s.pinned {
+	if len(exchange.Steps) == 1 && exchange.Steps[0].Kind == pg.StepSync && !s.pinned {
 		return s.finish(false)
 	}
 	if !s.partial && onlyCloses(exchange) {
@@ -57,7 +57,7 @@
 // a caller that gives a statement back must not be refused for the load of a target.
 func onlyCloses(exchange citronusher.Exchange) bool {
 	for _, step := range exchange.Steps {
-		if step.Kind != citronusher.StepSync && (step.Kind != citronusher.StepClose || step.Name == "") {
+		if step.Kind != pg.StepSync && (step.Kind != pg.StepClose || step.Name == "") {
 			return false
 		}
 	}
--- a/events/events.go
+++ b/events/events.go
@@ -12,6 +12,7 @@
 	Ready              Event = 102
 	Stopping           Event = 103
 	Stopped            Event = 104
+	LinesDropped       Event = 105
 	DocumentApplied    Event = 201
 	DocumentRefused    Event = 202
 	PlatformDown       Event = 203
@@ -48,6 +49,8 @@
 	RequestUnknown     Event = 503
 	RequestFailed      Event = 504
 	TransactionExpired Event = 505
+	RequestRetried     Event = 506
+	RequestLate        Event = 507
 	EditAccepted       Event = 601
 	EditRefused        Event = 602
 	DrainAsked         Event = 603
@@ -63,6 +66,7 @@
 	Ready:              {slog.LevelInfo, "daemon is ready"},
 	Stopping:           {slog.LevelInfo, "daemon is stopping; running requests are finished"},
 	Stopped:            {slog.LevelInfo, "daemon stopped"},
+	LinesDropped:       {slog.LevelWarn, "log lines were dropped: too many at a time, or nobody reads them"},
 	DocumentApplied:    {slog.LevelInfo, "configuration version is in force"},
 	DocumentRefused:    {slog.LevelError, "configuration version failed its checks and is not used"},
 	PlatformDown:       {slog.LevelWarn, "platform does not answer"},
@@ -99,6 +103,8 @@
 	RequestUnknown:     {slog.LevelWarn, "request ended with an unknown outcome"},
 	RequestFailed:      {slog.LevelInfo, "request failed; its caller was told so"},
 	TransactionExpired: {slog.LevelInfo, "idle transaction was rolled back"},
+	RequestRetried:     {slog.LevelInfo, "statement did not run and is tried again"},
+	RequestLate:        {slog.LevelInfo, "request was served after its goal"},
 	EditAccepted:       {slog.LevelInfo, "operator's edit was accepted"},
 	EditRefused:        {slog.LevelWarn, "operator's edit was refused"},
 	DrainAsked:         {slog.LevelInfo, "operator asked the daemon to drain"},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,7 @@
 	peers    *peer.GroupServer
 	health   *http.Server
 	healthAt string
+	dropped  func() int64 // log lines so far; nil when nobody counts them
 	ready    atomic.Bool
 	leaving  atomic.Bool
 	ctx      context.Context
@@ -58,11 +59,20 @@
 	mu sync.Mutex
 }
 
+// Option changes a daemon before it starts.
+type Option func(*Gateway)
+
+// WithDropped makes the metrics tell how many log lines were dropped.
+func WithDropped(count func() int64) Option { return func(g *Gateway) { g.dropped = count } }
+
 // New starts a daemon. It becomes ready in the background, once it knows a plan and the members.
-func New(s settings.Settings, logger *slog.Logger) (*Gateway, error) {
+func New(s settings.Settings, logger *slog.Logger, opts ...Option) (*Gateway, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	clock := citronusher.SystemClock{}
 	g := &Gateway{settings: s, logger: logger.With("instance", s.Name()), meter: meter.New(), ctx: ctx, cancel: cancel}
+	for _, option := range opts {
+		option(g)
+	}
 	g.client = store.New(s.Store())
 	g.store = store.NewStore(g.client, g.logger)
 	g.targets = targets.New(targets.Config{
@@ -105,6 +115,14 @@
 	return nil
 }
 
+// gauge brings the gauges up to date.
+func (g *Gateway) gauge() {
+	if g.dropped != nil {
+		g.meter.Dropped().Update(g.dropped())
+	}
+	g.targets.Gauge()
+}
+
 // Entry returns the IP:PORT for callers.
 func (g *Gateway) Entry() string { return g.proxy.Address() }
 
@@ -176,7 +194,14 @@
 		}
 		fmt.Fprintln(w, "ready")
 	})
-	mux.Handle("/metrics", g.meter)
+	mux.HandleFunc("/metrics.txt", func(w http.ResponseWriter, r *http.Request) {
+		g.gauge()
+		g.meter.ServeText(w, r)
+	})
+	mux.HandleFunc("/metrics", func(w http.ResponseWriter, r *http.Request) {
+		g.gauge()
+		g.meter.ServeHTTP(w, r)
+	})
 	g.health = &http.Server{Handler: mux, ReadHeaderTimeout: headerLimit}
 	g.tasks.Go(func() error {
 		if err := g.health.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -15,13 +15,13 @@
 const settingsPoll = 2 * time.Second
 
 // Run serves with the settings read from path until SIGTERM or an interrupt. SIGHUP, and a change of the file, make it read the
-// settings again.
-func Run(path string, s settings.Settings, logger *slog.Logger) error {
+// settings again. dropped counts the log lines that were dropped.
+func Run(path string, s settings.Settings, logger *slog.Logger, dropped func() int64) error {
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	g, err := New(s, logger)
+	g, err := New(s, logger, WithDropped(dropped))
 	if err != nil {
 		return err
 	}
--- a/home/marker.go
+++ b/home/marker.go
@@ -254,7 +254,7 @@
 	}
 	steps := make([]citronusher.Step, 0, len(exchange.Steps))
 	for _, step := range exchange.Steps {
-		if step.Kind == citronusher.StepQuery || step.Kind == citronusher.StepExecute {
+		if step.Kind == pg.StepQuery || step.Kind == pg.StepExecute {
 			step.Recorded = complete
 		}
 		steps = append(steps, step)
--- a/home/work.go
+++ b/home/work.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"regexp"
+	"slices"
 
 	"citronusher.example/citronusher"
 	"citronusher.example/citronusher/admit"
@@ -11,12 +11,6 @@
 	"citronusher.example/citronusher/route"
 )
 
-// beginPattern matches a query that opens an explicit transaction; readOnlyPattern one that cannot write.
-var (
-	beginPattern    = regexp.MustCompile(`(?i)^\s*(begin|start\s+transaction)\b`)
-	readOnlyPattern = regexp.MustCompile(`(?i)\bread\s+only\b`)
-)
-
 // work is a caller's sequence of exchanges at this home. Between the first exchange of a transaction and its end it
 // holds one target connection.
 type work struct {
@@ -56,13 +50,9 @@
 
 // opensWrite reports whether the exchange opens a transaction that may write.
 func opensWrite(exchange citronusher.Exchange) bool {
-	for _, step := range exchange.Steps {
-		body := pg.StatementText(step)
-		if beginPattern.MatchString(body) && !readOnlyPattern.MatchString(body) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(exchange.Steps, func(step citronusher.Step) bool {
+		return step.Statement == citronusher.StatementBegin
+	})
 }
 
 // onReplica tries a replica. served is false when the primary must run the exchange: none is eligible, the connection
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -33,6 +33,15 @@
 	fetches      metrics.Counter
 	polls        metrics.Counter
 	version      metrics.Gauge
+	dropped      metrics.Gauge
+	queued       metrics.Gauge
+	connections  metrics.Gauge
+	rights       metrics.Gauge
+	term         metrics.Gauge
+	memberTime   metrics.Histogram
+	connectTime  metrics.Histogram
+	confirmTime  metrics.Histogram
+	profiles     map[string]metrics.Histogram
 	latency      metrics.Histogram
 	queueWait    metrics.Histogram
 }
@@ -60,9 +69,21 @@
 		fetches:      metrics.NewRegisteredCounter("spread.fetches", r),
 		polls:        metrics.NewRegisteredCounter("platform.polls", r),
 		version:      metrics.NewRegisteredGauge("config.version", r),
+		dropped:      metrics.NewRegisteredGauge("log.dropped", r),
+		queued:       metrics.NewRegisteredGauge("queue.waiting", r),
+		connections:  metrics.NewRegisteredGauge("targets.connections", r),
+		rights:       metrics.NewRegisteredGauge("targets.rights", r),
+		term:         metrics.NewRegisteredGauge("targets.term", r),
+		memberTime:   metrics.NewRegisteredHistogram("stage.member", r, metrics.NewUniformSample(sampleSize)),
+		connectTime:  metrics.NewRegisteredHistogram("stage.connect", r, metrics.NewUniformSample(sampleSize)),
+		confirmTime:  metrics.NewRegisteredHistogram("stage.confirm", r, metrics.NewUniformSample(sampleSize)),
+		profiles:     map[string]metrics.Histogram{},
 		latency:      metrics.NewRegisteredHistogram("requests.latency", r, metrics.NewUniformSample(sampleSize)),
 		queueWait:    metrics.NewRegisteredHistogram("requests.wait", r, metrics.NewUniformSample(sampleSize)),
 	}
+	for _, profile := range Profiles() {
+		m.profiles[profile] = metrics.NewRegisteredHistogram("latency."+profile, r, metrics.NewUniformSample(sampleSize))
+	}
 	for _, reason := range citronusher.Reasons() {
 		m.refused[reason] = metrics.NewRegisteredCounter("refused."+string(reason), r)
 		m.retried[reason] = metrics.NewRegisteredCounter("retried."+string(reason), r)
@@ -137,6 +158,42 @@
 // QueueWait is the time that an exchange waited for its admission, in microseconds.
 func (m *Meter) QueueWait() metrics.Histogram { return m.queueWait }
 
+// Profiles returns the names by which latencies of the line protocol are told apart: the consistencies of routes.
+func Profiles() []string { return []string{"fresh", "session", "bounded"} }
+
+// ProfileLatency is the time of a statement of a route, in microseconds.
+func (m *Meter) ProfileLatency(consistency citronusher.Consistency) metrics.Histogram {
+	names := map[citronusher.Consistency]string{
+		citronusher.ConsistencyPrimary: "fresh", citronusher.ConsistencySession: "session",
+		citronusher.ConsistencyBounded: "bounded",
+	}
+	return m.profiles[names[consistency]]
+}
+
+// Dropped is the number of log lines that were dropped.
+func (m *Meter) Dropped() metrics.Gauge { return m.dropped }
+
+// Queued is the number of requests that wait for a member.
+func (m *Meter) Queued() metrics.Gauge { return m.queued }
+
+// Connections is the number of open connections to members.
+func (m *Meter) Connections() metrics.Gauge { return m.connections }
+
+// Rights is the number of groups whose primary the daemon may use.
+func (m *Meter) Rights() metrics.Gauge { return m.rights }
+
+// Term is the highest term of a primary that the daemon knows.
+func (m *Meter) Term() metrics.Gauge { return m.term }
+
+// MemberTime is the time that a member took for a statement, in microseconds.
+func (m *Meter) MemberTime() metrics.Histogram { return m.memberTime }
+
+// ConnectTime is the time to open a connection to a member, in microseconds.
+func (m *Meter) ConnectTime() metrics.Histogram { return m.connectTime }
+
+// ConfirmTime is the time that a write waited for its confirmation, in microseconds.
+func (m *Meter) ConfirmTime() metrics.Histogram { return m.confirmTime }
+
 // Names returns the names of all metrics.
 func (m *Meter) Names() []string {
 	var names []string
@@ -144,6 +201,12 @@
 	return names
 }
 
+// ServeText writes all metrics as text: a name and a value on each line.
+func (m *Meter) ServeText(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain")
+	metrics.WriteOnce(m.registry, w)
+}
+
 // ServeHTTP writes all metrics in JSON.
 func (m *Meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -53,6 +53,7 @@
 	Drain    drainCommand    `cmd:"" help:"Stop the daemon gracefully."`
 	Route    routeCommands   `cmd:"" help:"Explain routes."`
 	Settings settingCommands `cmd:"" help:"Check settings files."`
+	Log      logCommand      `cmd:"" help:"Tell a request's story from the logs of several daemons."`
 }
 
 // Run parses arguments, runs the command and writes its output to out.
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -10,7 +10,10 @@
 func toSteps(steps []citronusher.Step) []*peerpb.Step {
 	encoded := make([]*peerpb.Step, len(steps))
 	for i, step := range steps {
-		encoded[i] = &peerpb.Step{Kind: uint32(step.Kind), Name: step.Name, Raw: step.Raw}
+		encoded[i] = &peerpb.Step{
+			Statement: uint32(step.Statement), //nolint:gosec // a small number
+			Kind:      uint32(step.Kind), Name: step.Name, Raw: step.Raw,
+		}
 	}
 	return encoded
 }
@@ -18,8 +21,11 @@
 func fromSteps(encoded []*peerpb.Step) []citronusher.Step {
 	steps := make([]citronusher.Step, len(encoded))
 	for i, step := range encoded {
-		//nolint:gosec // the kind is one byte
-		steps[i] = citronusher.Step{Kind: byte(step.GetKind()), Name: step.GetName(), Raw: step.GetRaw()}
+		steps[i] = citronusher.Step{
+			Statement: citronusher.StatementKind(step.GetStatement()),
+			Kind:      byte(step.GetKind()), //nolint:gosec // the kind is one byte
+			Name:      step.GetName(), Raw: step.GetRaw(),
+		}
 	}
 	return steps
 }
--- a/pg/exchange.go
+++ b/pg/exchange.go
@@ -27,7 +27,7 @@
 func MayCommit(exchange citronusher.Exchange) bool {
 	for _, steps := range [][]citronusher.Step{exchange.Steps, exchange.Needs} {
 		for _, step := range steps {
-			if (step.Kind == citronusher.StepQuery || step.Kind == citronusher.StepParse) &&
+			if (step.Kind == StepQuery || step.Kind == StepParse) &&
 				commitPattern.Match(step.Raw) {
 				return true
 			}
@@ -125,18 +125,18 @@
 		if !c.prepared[step.Name] && !defined[step.Name] {
 			defined[step.Name] = true
 			raw = append(raw, step.Raw...)
-			expected = append(expected, expectation{kind: citronusher.StepParse, name: step.Name, hidden: true})
+			expected = append(expected, expectation{kind: StepParse, name: step.Name, hidden: true})
 		}
 	}
 	for _, step := range exchange.Steps {
 		e := expectation{kind: step.Kind, name: step.Name}
 		var own pgproto3.BackendMessage
 		switch {
-		case step.Kind == citronusher.StepParse && (c.prepared[step.Name] || defined[step.Name]):
+		case step.Kind == StepParse && (c.prepared[step.Name] || defined[step.Name]):
 			own = &pgproto3.ParseComplete{}
-		case step.Kind == citronusher.StepParse:
+		case step.Kind == StepParse:
 			defined[step.Name] = true
-		case step.Kind == citronusher.StepClose && step.Name != "":
+		case step.Kind == StepClose && step.Name != "":
 			own = &pgproto3.CloseComplete{}
 		}
 		switch {
@@ -172,12 +172,12 @@
 // StatementText returns the SQL of a step that carries some.
 func StatementText(step citronusher.Step) string {
 	switch step.Kind {
-	case citronusher.StepQuery:
+	case StepQuery:
 		var m pgproto3.Query
 		if m.Decode(step.Raw[messageHeader:]) == nil {
 			return m.String
 		}
-	case citronusher.StepParse:
+	case StepParse:
 		var m pgproto3.Parse
 		if m.Decode(step.Raw[messageHeader:]) == nil {
 			return m.Query
@@ -257,13 +257,13 @@
 // prepared.
 func (c *Conn) fail(expected []expectation) {
 	for _, e := range expected {
-		if e.kind == citronusher.StepQuery {
+		if e.kind == StepQuery {
 			return
 		}
 	}
 	c.skipping = true
 	for _, e := range expected {
-		if e.kind == citronusher.StepParse && e.synthetic == nil {
+		if e.kind == StepParse && e.synthetic == nil {
 			delete(c.prepared, e.name)
 		}
 	}
@@ -288,9 +288,9 @@
 	case *pgproto3.ParseComplete, *pgproto3.BindComplete, *pgproto3.CloseComplete, *pgproto3.NoData:
 		complete = true
 	case *pgproto3.RowDescription:
-		complete = first.kind == citronusher.StepDescribe
+		complete = first.kind == StepDescribe
 	case *pgproto3.CommandComplete, *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
-		complete = first.kind == citronusher.StepExecute
+		complete = first.kind == StepExecute
 	}
 	if complete {
 		return expected[1:], first.hidden
@@ -336,7 +336,7 @@
 		}
 		return nil
 	}
-	exchange := citronusher.Exchange{Steps: []citronusher.Step{{Kind: citronusher.StepQuery, Raw: raw}}}
+	exchange := citronusher.Exchange{Steps: []citronusher.Step{{Kind: StepQuery, Raw: raw}}}
 	answer, err := c.Run(ctx, exchange, sink)
 	return values, answer, err
 }
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -25,6 +25,7 @@
 	values   map[string]string
 	prepared map[string]prepared
 	seen     citronusher.Position // of the session's last write
+	trace    trace                // of the statement that is being served
 
 	// mu guards the open transaction, which a timer may roll back between two statements.
 	mu    sync.Mutex
@@ -34,6 +35,31 @@
 	busy  bool // a statement is being served
 }
 
+// trace is what a log line tells of a statement.
+type trace struct {
+	id, group, member string
+	term              uint64 // of the primary that was used; 0 for a replica
+	after             citronusher.Position
+	tries             int
+}
+
+// use records the connection that the statement got.
+func (t *trace) use(hold *targets.Hold, after citronusher.Position) {
+	t.tries++
+	t.member, t.term, t.after = hold.Member(), 0, after
+	if hold.Primary() {
+		t.term, t.after = hold.Term(), citronusher.Position{}
+	}
+}
+
+// args are the trace as fields of a log line.
+func (t *trace) args(database string) []any {
+	return []any{
+		"id", t.id, "database", database, "group", t.group, "member", t.member, "term", t.term, "after", t.after.String(),
+		"tries", t.tries,
+	}
+}
+
 // transaction is what the session's open transaction needs.
 type transaction struct {
 	route    citronusher.Route
@@ -131,23 +157,45 @@
 		s.timer = nil
 	}
 	s.proxy.config.Meter.Requests().Inc(1)
+	s.trace = trace{id: statement.ID}
 	answer, err := s.handle(statement, arrived)
-	s.proxy.config.Meter.Latency().Update(s.proxy.config.Timer.Instant().Sub(arrived).Microseconds())
+	s.measure(s.proxy.config.Timer.Instant().Sub(arrived), err)
 	s.busy = false
 	if s.state != citronusher.StateIdle && s.tx.hold != nil {
 		s.timer = time.AfterFunc(s.proxy.config.Plan().Idle, s.expireIdle)
 	}
-	return s.reply(statement, answer, err)
+	return s.reply(answer, err)
+}
+
+// measure counts how long a statement took, and logs one that was served after its route's goal.
+func (s *session) measure(took time.Duration, err error) {
+	meter := s.proxy.config.Meter
+	meter.Latency().Update(took.Microseconds())
+	route, ok := s.proxy.config.Plan().Routes[s.database]
+	if !ok || s.trace.tries == 0 {
+		return
+	}
+	meter.ProfileLatency(route.Consistency).Update(took.Microseconds())
+	if err == nil && took > route.Goal {
+		events.Log(s.proxy.config.Logger, events.RequestLate, append(s.trace.args(s.database), "ms", took.Milliseconds())...)
+	}
+}
+
+// retried counts and logs that the statement is tried again.
+func (s *session) retried(failure *citronusher.Failure) {
+	s.proxy.config.Meter.Retried(failure.Reason())
+	events.Log(s.proxy.config.Logger, events.RequestRetried, append(s.trace.args(s.database),
+		"reason", string(failure.Reason()), "error", failure.Message())...)
 }
 
 // reply tells the caller how its statement ended.
-func (s *session) reply(statement citronusher.Statement, answer *citronusher.Answer, err error) error {
+func (s *session) reply(answer *citronusher.Answer, err error) error {
 	switch {
 	case err != nil:
 		failure := citronusher.AsFailure(err)
 		s.proxy.config.Meter.Failed(failure)
-		events.Log(s.proxy.config.Logger, events.RequestFailed, "id", statement.ID, "database", s.database,
-			"outcome", failure.Outcome().String(), "reason", string(failure.Reason()), "error", failure.Message())
+		events.Log(s.proxy.config.Logger, events.RequestFailed, append(s.trace.args(s.database),
+			"outcome", failure.Outcome().String(), "reason", string(failure.Reason()), "error", failure.Message())...)
 		return s.caller.Refuse(failure, s.state)
 	case answer != nil:
 		return s.caller.Answer(*answer, s.state)
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -148,6 +148,7 @@
 }
 
 func (s *session) group(route citronusher.Route) (*targets.Group, error) {
+	s.trace.group = route.Group
 	g, ok := s.proxy.config.Targets.Group(route.Group)
 	if !ok {
 		return nil, citronusher.Refuse(citronusher.ReasonPrimary, "the group of database %s is not known", route.Name)
@@ -173,6 +174,7 @@
 		if err != nil {
 			return nil, err
 		}
+		s.trace.use(hold, need.After)
 		answer, err := s.runSingle(hold, route, statement, writes, need, t.Deadline())
 		if err == nil {
 			return answer, nil
@@ -182,7 +184,7 @@
 		if !again || s.proxy.config.Timer.Instant() >= t.Deadline() {
 			return nil, err
 		}
-		s.proxy.config.Meter.Retried(failure.Reason())
+		s.retried(failure)
 		t.Avoid(hold.Member())
 	}
 }
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -36,7 +36,7 @@
 		s.giveBack()
 		s.state = citronusher.StateOpen
 		s.tx.wrote = false
-		s.proxy.config.Meter.Retried(citronusher.ReasonFull)
+		s.retried(refused(citronusher.RefusalBusy))
 	}
 }
 
@@ -60,6 +60,7 @@
 			return err
 		}
 		s.tx.hold = hold
+		s.trace.use(hold, need.After)
 		failure := s.beginOn(statement, need, t.Deadline())
 		if failure == nil {
 			return nil
@@ -68,7 +69,7 @@
 		if s.proxy.config.Timer.Instant() >= t.Deadline() {
 			return failure
 		}
-		s.proxy.config.Meter.Retried(failure.Reason())
+		s.retried(failure)
 		t.Avoid(hold.Member())
 	}
 }
@@ -114,6 +115,10 @@
 	commands []citronusher.Command, writes bool, arrived citronusher.Instant,
 ) (*citronusher.Answer, error) {
 	hold := s.tx.hold
+	s.trace.group = s.tx.route.Group
+	if s.trace.tries == 0 {
+		s.trace.use(hold, citronusher.Position{})
+	}
 	s.tx.wrote = s.tx.wrote || writes
 	deadline := arrived.Add(s.tx.route.Limit).Add(runGrace)
 	answers, err := hold.Run(deadline, commands...)
@@ -147,6 +152,8 @@
 		}
 	}
 	tx := s.tx
+	s.trace.group = tx.route.Group
+	s.trace.use(tx.hold, citronusher.Position{})
 	s.tx = transaction{}
 	s.state = citronusher.StateIdle
 	deadline := arrived.Add(tx.route.Limit)
--- a/targets/hold.go
+++ b/targets/hold.go
@@ -134,8 +134,10 @@
 	g.mu.Lock()
 	report := m.report
 	g.mu.Unlock()
+	began := g.now()
 	link, err := g.set.config.Dialer.Dial(deadline, report.Address, report.Group, report.ID)
 	now := g.now()
+	g.set.config.Meter.ConnectTime().Update(now.Sub(began).Microseconds())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err == nil {
@@ -192,6 +194,7 @@
 	g.mu.Unlock()
 	answers, err := h.conn.link.Run(deadline, commands...)
 	now := g.now()
+	g.set.config.Meter.MemberTime().Update(now.Sub(sentAt).Microseconds())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	h.conn.sentAt = 0
@@ -235,8 +238,10 @@
 // *Failure with an unknown outcome.
 func (h *Hold) Confirm(deadline citronusher.Instant) error {
 	g := h.group
-	timer := time.NewTimer(max(0, deadline.Sub(g.now())))
+	began := g.now()
+	timer := time.NewTimer(max(0, deadline.Sub(began)))
 	defer timer.Stop()
+	defer func() { g.set.config.Meter.ConfirmTime().Update(g.now().Sub(began).Microseconds()) }()
 	for {
 		g.mu.Lock()
 		same := h.primary && g.right.Term() == h.term && !g.right.Closed()
--- a/targets/set.go
+++ b/targets/set.go
@@ -159,3 +159,26 @@
 	}
 	return len(s.groups) > 0
 }
+
+// Gauge brings the gauges of queues, connections and rights up to date.
+func (s *Set) Gauge() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var queued, connections, rights, term int64
+	for _, g := range s.groups {
+		g.mu.Lock()
+		queued += int64(g.queue.Len())
+		for _, m := range g.members {
+			connections += int64(len(m.open))
+		}
+		if g.right.Valid(g.now()) {
+			rights++
+		}
+		term = max(term, int64(g.right.Term())) //nolint:gosec // terms are small
+		g.mu.Unlock()
+	}
+	s.config.Meter.Queued().Update(queued)
+	s.config.Meter.Connections().Update(connections)
+	s.config.Meter.Rights().Update(rights)
+	s.config.Meter.Term().Update(term)
+}
--- a/work.go
+++ b/work.go
@@ -5,20 +5,11 @@
 	"time"
 )
 
-// Step kinds are the frontend message types of the PostgreSQL protocol that an exchange can hold.
-const (
-	StepQuery    byte = 'Q'
-	StepParse    byte = 'P'
-	StepBind     byte = 'B'
-	StepDescribe byte = 'D'
-	StepExecute  byte = 'E'
-	StepClose    byte = 'C'
-	StepSync     byte = 'S'
-)
-
-// Step is one frontend message of an exchange.
+// Step is one message of an exchange, in the protocol that the caller and the targets speak.
 type Step struct {
-	// Kind is the message's type byte.
+	// Statement is what the step's statement does, as far as the protocol tells; StatementOther when it does not.
+	Statement StatementKind
+	// Kind is the message's type in its protocol.
 	Kind byte
 	// Name is the prepared statement that the message defines or uses; empty when it names none.
 	Name string
