--- a/admit/queue.go
+++ b/admit/queue.go
@@ -143,8 +143,8 @@
 }
 
 // estimate returns how long it would take until the request is done: those before it, over the limit, at the average
-// service time, but not less than what requests before it waited lately. Fresh requests count only the fresh ones before
-// them.
+// service time, but not less than what requests before it waited lately. Fresh requests count only the fresh ones
+// before them.
 func (q *Queue) estimate(t *Ticket) time.Duration {
 	l := q.lane(t)
 	before := l.fresh.size
--- a/events/writer.go
+++ b/events/writer.go
@@ -16,8 +16,8 @@
 	lineRate    = 400  // lines a second, beyond which lines are dropped
 )
 
-// Writer passes log lines on without ever blocking: they wait in a bounded buffer for one goroutine that writes them. Lines beyond
-// the buffer or beyond the rate are dropped, counted, and told of by a line.
+// Writer passes log lines on without ever blocking: they wait in a bounded buffer for one goroutine that writes
+// them. Lines beyond the buffer or beyond the rate are dropped, counted, and told of by a line.
 type Writer struct {
 	out     io.Writer
 	lines   chan []byte
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -1,5 +1,5 @@
-// Package follow keeps a daemon's plan, members and instances up to date with the platform's store. In an outage the last known
-// ones stay in force. A plan's version never goes back.
+// Package follow keeps a daemon's plan, members and instances up to date with the platform's store. In an outage the
+// last known ones stay in force. A plan's version never goes back.
 package follow
 
 import (
@@ -125,8 +125,9 @@
 func (f *Follower) followPlan() {
 	version, known, wait := uint64(0), false, time.Duration(0)
 	for f.ctx.Err() == nil {
-		plan, found := citronusher.Plan{}, true
+		var plan citronusher.Plan
 		var err error
+		found := true
 		if known {
 			plan, found, version, err = f.config.Store.AwaitPlan(f.ctx, version)
 		} else {
@@ -233,8 +234,8 @@
 	}
 }
 
-// register makes the daemon known to the others, unless an earlier process of the same name and address is in the list. In that
-// case nothing has to be written, which a store that only reads cannot do.
+// register makes the daemon known to the others, unless an earlier process of the same name and address is in the
+// list. In that case nothing has to be written, which a store that only reads cannot do.
 func (f *Follower) register(instances *[]citronusher.Instance) (bool, error) {
 	if !slices.ContainsFunc(*instances, func(i citronusher.Instance) bool {
 		return i.Name() == f.config.Self.Name() && i.Peer() == f.config.Self.Peer()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,7 +77,8 @@
 	g.store = store.NewStore(g.client, g.logger)
 	g.targets = targets.New(targets.Config{
 		Self: s.Name(), Domain: s.Domain(), Dialer: line.NewDialer(clock), Store: g.store,
-		Peers: peer.GroupClient{}, Promoter: store.NewPromoter(s.Promotion(), s.Name()), Refresh: g.refresh, Timer: clock, Logger: g.logger, Meter: g.meter,
+		Peers: peer.GroupClient{}, Promoter: store.NewPromoter(s.Promotion(), s.Name()), Refresh: g.refresh,
+		Timer: clock, Logger: g.logger, Meter: g.meter,
 	})
 	if err := g.start(clock); err != nil {
 		return nil, errors.Join(err, g.Close())
@@ -220,8 +221,8 @@
 	events.Log(g.logger, events.SettingsRead)
 }
 
-// Drain stops the daemon gracefully within span: it is not ready any more, ends sessions between requests once no new ones
-// arrive, gives open transactions half of the span, and delivers every answer.
+// Drain stops the daemon gracefully within span: it is not ready any more, ends sessions between requests once no
+// new ones arrive, gives open transactions half of the span, and delivers every answer.
 func (g *Gateway) Drain(span time.Duration) {
 	events.Log(g.logger, events.Stopping)
 	g.leaving.Store(true)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -14,8 +14,8 @@
 // settingsPoll is how often the settings file is looked at for a change that no signal announced.
 const settingsPoll = 2 * time.Second
 
-// Run serves with the settings read from path until SIGTERM or an interrupt. SIGHUP, and a change of the file, make it read the
-// settings again. dropped counts the log lines that were dropped.
+// Run serves with the settings read from path until SIGTERM or an interrupt. SIGHUP, and a change of the file, make
+// it read the settings again. dropped counts the log lines that were dropped.
 func Run(path string, s settings.Settings, logger *slog.Logger, dropped func() int64) error {
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -101,7 +101,8 @@
 func daemonSettings(t *testing.T, name, platform string) settings.Settings {
 	t.Helper()
 	s, err := settings.Parse([]byte(fmt.Sprintf(`{
-		"protocol": "line", "name": %q, "domain": "zone", "entry": {"address": "127.0.0.1:0"}, "peer": {"address": "127.0.0.1:0"}, "health": "127.0.0.1:0",
+		"protocol": "line", "name": %q, "domain": "zone", "health": "127.0.0.1:0",
+		"entry": {"address": "127.0.0.1:0"}, "peer": {"address": "127.0.0.1:0"},
 		"platform": {"store": %q, "promotion": %q}, "drain": "6s",
 	}`, name, platform, platform)))
 	if err != nil {
--- a/home/marker.go
+++ b/home/marker.go
@@ -15,9 +15,9 @@
 	"citronusher.example/citronusher/term"
 )
 
-// The marker table records the decided non-repeatable requests of a database. A row is written in the transaction of the
-// request itself, so that both are there or neither is. The tag is empty while the transaction runs, the command tag
-// once it committed, and tagVoid when the request was found not to have run and must not commit any more.
+// The marker table records the decided non-repeatable requests of a database. A row is written in the transaction of
+// the request itself, so that both are there or neither is. The tag is empty while the transaction runs, the command
+// tag once it committed, and tagVoid when the request was found not to have run and must not commit any more.
 const (
 	createMarkers = "CREATE TABLE IF NOT EXISTS citronusher_marker (id TEXT PRIMARY KEY, tag TEXT NOT NULL, " +
 		"made BIGINT NOT NULL)"
@@ -292,8 +292,8 @@
 	return result, true, err
 }
 
-// settle finds out what became of a marked request whose outcome is unknown. It makes sure at the confirmed primary that
-// either the marker is there, so that the request ran, or that it cannot commit any more.
+// settle finds out what became of a marked request whose outcome is unknown. It makes sure at the confirmed primary
+// that either the marker is there, so that the request ran, or that it cannot commit any more.
 func (w *work) settle(
 	ctx context.Context, request citronusher.Request, hold *holder, cause error,
 ) (citronusher.Result, error) {
--- a/home/probe.go
+++ b/home/probe.go
@@ -30,8 +30,8 @@
 	return rate
 }
 
-// slowdown returns the factor by which a daemon whose databases ask for so many probes a second stretches its intervals.
-// Hashing makes a few daemons home of many databases; these notice a lost primary a little later.
+// slowdown returns the factor by which a daemon whose databases ask for so many probes a second stretches its
+// intervals. Hashing makes a few daemons home of many databases; these notice a lost primary a little later.
 func slowdown(rate float64) float64 { return max(1, rate/probeBudget) }
 
 // probeLoop probes one member until its target or the database closes.
--- a/home/probe_test.go
+++ b/home/probe_test.go
@@ -2,8 +2,8 @@
 
 import "testing"
 
-// TestProbesStayWithinTheirBudget checks the daemon with the most homes that hashing gives at the target's size, 7 first
-// and 7 others, and that a daemon with the mean number is not slowed down.
+// TestProbesStayWithinTheirBudget checks the daemon with the most homes that hashing gives at the target's size, 7
+// first and 7 others, and that a daemon with the mean number is not slowed down.
 func TestProbesStayWithinTheirBudget(t *testing.T) {
 	const members = 3
 	most := 7*probeRate(0, members) + 7*probeRate(1, members)
--- a/home/set.go
+++ b/home/set.go
@@ -25,8 +25,8 @@
 // NotHome is the rank of a daemon that is no home of a database but is asked to serve it, because views differ.
 const NotHome = -1
 
-// reservePart is the part of a member's connections, one in so many, that no home counts on: while views differ there are
-// more homes, and each needs at least a connection for its probes.
+// reservePart is the part of a member's connections, one in so many, that no home counts on: while views differ
+// there are more homes, and each needs at least a connection for its probes.
 const reservePart = 8
 
 const closeAfter = 10 * time.Second // how long a database stays open after its last use when this is no home
--- a/home/target.go
+++ b/home/target.go
@@ -148,8 +148,8 @@
 	t.signalAll(start, expired)
 }
 
-// pump starts waiting requests that running ones made room for by getting old. Nothing else would do so while no request
-// ends.
+// pump starts waiting requests that running ones made room for by getting old. Nothing else would do so while no
+// request ends.
 func (t *target) pump() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/home/work.go
+++ b/home/work.go
@@ -107,8 +107,9 @@
 	return f.Reason() == citronusher.ReasonConnect || f.Reason() == citronusher.ReasonBroken
 }
 
-// recheck makes sure, for a session that has a position, that the replica still was at the term and past the position when
-// it answered. A promotion that this home does not know yet may have cut the replica's log back since its last probe.
+// recheck makes sure, for a session that has a position, that the replica still was at the term and past the
+// position when it answered. A promotion that this home does not know yet may have cut the replica's log back since
+// its last probe.
 func (w *work) recheck(request citronusher.Request, t *target) error {
 	if request.Seen.IsZero() {
 		return nil
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -1,5 +1,5 @@
-// Package operator is the operators' command line: it edits the configuration document, shows it and the daemons' views,
-// and asks daemons to drain.
+// Package operator is the operators' command line: it edits the configuration document, shows it and the daemons'
+// views, and asks daemons to drain.
 package operator
 
 import (
--- a/peer/group.go
+++ b/peer/group.go
@@ -99,7 +99,9 @@
 }
 
 // Yield asks a daemon to give its rights up. Its error wraps ErrRefused when the daemon does not run: it then has none.
-func (c GroupClient) Yield(ctx context.Context, instance citronusher.Instance, group string, claim citronusher.Claim, term uint64) error {
+func (c GroupClient) Yield(
+	ctx context.Context, instance citronusher.Instance, group string, claim citronusher.Claim, term uint64,
+) error {
 	client, done := c.call(instance)
 	defer done()
 	_, err := client.Yield(ctx, connect.NewRequest(&peerpb.YieldRequest{
--- a/place/choose.go
+++ b/place/choose.go
@@ -48,8 +48,8 @@
 	return c.Busy < limit
 }
 
-// Choose returns the candidate that serves the request now. Reads that replicas may serve leave the primary to the requests
-// that need it, unless it is idle or no replica can serve at all.
+// Choose returns the candidate that serves the request now. Reads that replicas may serve leave the primary to the
+// requests that need it, unless it is idle or no replica can serve at all.
 func Choose(candidates []Candidate, need Need, t *Ticket) (Candidate, bool) {
 	if need.Primary || !need.Known {
 		return choosePrimary(candidates, need)
--- a/place/queue.go
+++ b/place/queue.go
@@ -1,8 +1,8 @@
 // Package place decides which waiting request goes next and to which member of its group.
 //
-// It answers the load of a wave's crest: more requests than the members' slots. Requests that can still meet their latency
-// goal go before those that cannot, then by priority, then by goal. A request that cannot start before its deadline is
-// refused. The package starts nothing and asks nobody.
+// It answers the load of a wave's crest: more requests than the members' slots. Requests that can still meet their
+// latency goal go before those that cannot, then by priority, then by goal. A request that cannot start before its
+// deadline is refused. The package starts nothing and asks nobody.
 package place
 
 import (
@@ -20,8 +20,8 @@
 	avoid    []string
 }
 
-// NewTicket returns the ticket of a request that needs a member as need says, meets its callers' goal when it starts before
-// goal, and must start before deadline. A lower priority goes first.
+// NewTicket returns the ticket of a request that needs a member as need says, meets its callers' goal when it starts
+// before goal, and must start before deadline. A lower priority goes first.
 func NewTicket(need Need, priority int, goal, deadline citronusher.Instant) *Ticket {
 	return &Ticket{need: need, priority: priority, goal: goal, deadline: deadline}
 }
@@ -103,8 +103,8 @@
 	return dropped
 }
 
-// Next takes the requests out that can start now and those whose deadline has passed. start is called for each request in
-// turn and returns the member that it starts at, after it has counted the request there.
+// Next takes the requests out that can start now and those whose deadline has passed. start is called for each
+// request in turn and returns the member that it starts at, after it has counted the request there.
 func (q *Queue) Next(
 	now citronusher.Instant, start func(t *Ticket) (member string, ok bool),
 ) (started []Assignment, expired []*Ticket) {
--- a/plan.go
+++ b/plan.go
@@ -126,8 +126,8 @@
 
 // Peers reaches the other daemons before the same groups.
 type Peers interface {
-	// Yield makes a daemon give up its rights to a group's primaries up to term, on behalf of claim. Its error wraps ErrRefused
-	// when the daemon does not run, and ErrUnavailable when it did not answer.
+	// Yield makes a daemon give up its rights to a group's primaries up to term, on behalf of claim. Its error wraps
+	// ErrRefused when the daemon does not run, and ErrUnavailable when it did not answer.
 	Yield(ctx context.Context, instance Instance, group string, claim Claim, term uint64) error
 	// Learn returns what a daemon knows, and its plan if that is newer than version. Its error wraps ErrUnavailable.
 	Learn(ctx context.Context, instance Instance, version uint64) (Knowledge, error)
--- a/profile/database.go
+++ b/profile/database.go
@@ -125,9 +125,9 @@
 	return nil
 }
 
-// checkMemberChange refuses an edit that adds and removes more than one member. Daemons hold the versions before and after
-// an edit for a while; a majority of one must share a member with every majority of the other, or two primaries could be
-// confirmed at once.
+// checkMemberChange refuses an edit that adds and removes more than one member. Daemons hold the versions before and
+// after an edit for a while; a majority of one must share a member with every majority of the other, or two
+// primaries could be confirmed at once.
 func checkMemberChange(old, edited Database) error {
 	addresses := map[string]string{}
 	for _, m := range old.members {
--- a/prove/session_test.go
+++ b/prove/session_test.go
@@ -72,7 +72,8 @@
 	requireKeys(t, c.mustDial(2, "-c citronusher.profile=stale -c citronusher.token="+token), 10)
 }
 
-// requireKeys requires the rows with the keys 0 to count-1, each read by its key. Rows of other sessions may be there or not.
+// requireKeys requires the rows with the keys 0 to count-1, each read by its key. Rows of other sessions may be
+// there or not.
 func requireKeys(t *testing.T, conn *pgx.Conn, count int) {
 	t.Helper()
 	for key := range count {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -1,6 +1,6 @@
-// Package proxy serves callers' sessions over typed statements, in whichever protocol the callers speak: it finds the route of
-// each statement, takes a connection to the right member for it, retries what did not run, and says truthfully what is known of
-// everything else.
+// Package proxy serves callers' sessions over typed statements, in whichever protocol the callers speak: it finds
+// the route of each statement, takes a connection to the right member for it, retries what did not run, and says
+// truthfully what is known of everything else.
 package proxy
 
 import (
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -17,7 +17,8 @@
 	runGrace    = 300 * time.Millisecond
 )
 
-// handle serves a statement. It returns the member's answer, or nil when the proxy answered by itself. The caller holds mu.
+// handle serves a statement. It returns the member's answer, or nil when the proxy answered by itself. The caller
+// holds mu.
 func (s *session) handle(statement citronusher.Statement, arrived citronusher.Instant) (*citronusher.Answer, error) {
 	if s.state == citronusher.StateFailed {
 		return nil, s.inFailed(statement)
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -16,8 +16,8 @@
 	return s.runPinned(commands, writes, arrived)
 }
 
-// first runs a transaction's first statement. When it did not run the transaction is begun again elsewhere: nothing of it has
-// run yet.
+// first runs a transaction's first statement. When it did not run the transaction is begun again elsewhere: nothing
+// of it has run yet.
 func (s *session) first(
 	statement citronusher.Statement, writes bool, arrived citronusher.Instant,
 ) (*citronusher.Answer, error) {
@@ -40,8 +40,8 @@
 	}
 }
 
-// open takes a connection for the transaction and begins it there. The begin is answered before anything else is sent: a
-// statement behind a refused begin would run outside the transaction.
+// open takes a connection for the transaction and begins it there. The begin is answered before anything else is
+// sent: a statement behind a refused begin would run outside the transaction.
 func (s *session) open(statement citronusher.Statement, arrived citronusher.Instant) error {
 	route := s.tx.route
 	g, err := s.group(route)
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -83,8 +83,8 @@
 	citronusher.ReasonFull: true,
 }
 
-// Costs reports whether a retry for the reason loads the targets, so that it must be paid from the budget. Waiting for a
-// primary, asking another daemon or a connection that was refused does not.
+// Costs reports whether a retry for the reason loads the targets, so that it must be paid from the budget. Waiting
+// for a primary, asking another daemon or a connection that was refused does not.
 func Costs(reason citronusher.Reason) bool {
 	switch reason {
 	case citronusher.ReasonPrimary, citronusher.ReasonClosed, citronusher.ReasonLeaving, citronusher.ReasonPeer,
--- a/right/right.go
+++ b/right/right.go
@@ -1,9 +1,9 @@
 // Package right decides whether a daemon may use a group's primary, and which positions of the primary it may rely on.
 //
-// A right is a lease of a term. It is renewed by the answer of a replica that still receives under the term: a daemon that
-// promotes another member first makes every replica stop receiving, and then waits until rights that were renewed before
-// have expired or were given up. Deadlines count from when a question was sent, on a clock that runs while a machine is suspended. The package
-// asks nobody and starts nothing.
+// A right is a lease of a term. It is renewed by the answer of a replica that still receives under the term: a
+// daemon that promotes another member first makes every replica stop receiving, and then waits until rights that
+// were renewed before have expired or were given up. Deadlines count from when a question was sent, on a clock that
+// runs while a machine is suspended. The package asks nobody and starts nothing.
 package right
 
 import (
--- a/right/right_test.go
+++ b/right/right_test.go
@@ -75,7 +75,8 @@
 	})
 }
 
-// TestWindowNeverTooOld checks that a position is never one that was asked for before the bound, and holds every earlier one.
+// TestWindowNeverTooOld checks that a position is never one that was asked for before the bound, and holds every
+// earlier one.
 func TestWindowNeverTooOld(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var w right.Window
--- a/right/window.go
+++ b/right/window.go
@@ -17,8 +17,8 @@
 	position citronusher.Position
 }
 
-// Window holds the positions that a primary had lately. Everything that was acknowledged before a sighting was asked for is
-// part of the log at its position.
+// Window holds the positions that a primary had lately. Everything that was acknowledged before a sighting was asked
+// for is part of the log at its position.
 type Window struct {
 	sightings []sighting
 }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -24,7 +24,8 @@
 	return all
 }
 
-// TestHomesMoveLittle takes an instance away: only databases that it was a home of change, and each change replaces few.
+// TestHomesMoveLittle takes an instance away: only databases that it was a home of change, and each change replaces
+// few.
 func TestHomesMoveLittle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		all := instances(rapid.IntRange(4, 40).Draw(t, "instances"), rapid.IntRange(1, 7).Draw(t, "domains"))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -276,8 +276,8 @@
 // List returns the URL of the instance list.
 func (s Settings) List() string { return s.fields.Platform.List }
 
-// Seeds returns the IP:PORT of some peers, which a daemon that starts in a platform outage asks for the instances and the
-// configuration.
+// Seeds returns the IP:PORT of some peers, which a daemon that starts in a platform outage asks for the instances
+// and the configuration.
 func (s Settings) Seeds() []string { return s.fields.Seeds }
 
 // Region returns the platform's region.
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -259,8 +259,9 @@
 	}
 }
 
-// neighboursOf picks the peers that the daemon at address compares versions with. They are few and stay the same while the
-// instances do, so that the connections to them are kept; every daemon has others, so that versions reach all.
+// neighboursOf picks the peers that the daemon at address compares versions with. They are few and stay the same
+// while the instances do, so that the connections to them are kept; every daemon has others, so that versions reach
+// all.
 func neighboursOf(address string, peers []string) []string {
 	slices.SortFunc(peers, func(a, b string) int {
 		return cmp.Compare(xxhash.Sum64String(address+" "+a), xxhash.Sum64String(address+" "+b))
--- a/standin/users/group.go
+++ b/standin/users/group.go
@@ -25,7 +25,8 @@
 type Options struct {
 	// Slots is how many statements a member runs at once, Connections how many connections it takes.
 	Slots, Connections int
-	// Lag is how late replicas receive a commit, Promotion how late a promotion takes effect, Work how long a statement runs.
+	// Lag is how late replicas receive a commit, Promotion how late a promotion takes effect, Work how long a statement
+	// runs.
 	Lag, Promotion, Work time.Duration
 }
 
@@ -237,7 +238,8 @@
 	return count
 }
 
-// Commits returns how often the write of the statement id was committed in the log of the present primary or an earlier one.
+// Commits returns how often the write of the statement id was committed in the log of the present primary or an
+// earlier one.
 func (g *Group) Commits(id string) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/standin/users/member.go
+++ b/standin/users/member.go
@@ -4,9 +4,9 @@
 	"bufio"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -191,7 +191,6 @@
 	member   *Member
 	conn     net.Conn
 	reader   *bufio.Reader
-	mu       sync.Mutex
 	values   map[string]string
 	prepared map[string]string
 	state    string
@@ -257,10 +256,13 @@
 	return err == nil && strings.HasPrefix(answer, "READY")
 }
 
+// slottedWords begin the statements that take a slot.
+var slottedWords = []string{"READ", "WRITE", "COMMIT", "EXECUTE", "AFTERLSN", "STATUS"}
+
 // statement runs one statement and returns its answer, or lost when the answer never arrives.
 func (s *memberSession) statement(id, text string) (answer string, lost bool) {
 	m := s.member
-	slotted := strings.Contains("READ WRITE COMMIT EXECUTE AFTERLSN STATUS", strings.Fields(text)[0])
+	slotted := slices.Contains(slottedWords, strings.Fields(text)[0])
 	if slotted {
 		m.slots <- struct{}{}
 		time.Sleep(m.group.platform.options.Work)
--- a/standin/users/store.go
+++ b/standin/users/store.go
@@ -1,5 +1,5 @@
-// Package users stands in for the users' platform in tests: the metadata store, the promotion call, and database groups whose
-// members speak the line protocol. Faults are set by methods.
+// Package users stands in for the users' platform in tests: the metadata store, the promotion call, and database
+// groups whose members speak the line protocol. Faults are set by methods.
 //
 // It is a test program: it keeps everything in memory and checks nothing that a test does not need.
 package users
--- a/statement.go
+++ b/statement.go
@@ -31,7 +31,8 @@
 	StatementReset
 )
 
-// Statement is one statement of a caller, or one that the proxy sends by itself. The protocol that read it also writes it.
+// Statement is one statement of a caller, or one that the proxy sends by itself. The protocol that read it also
+// writes it.
 type Statement struct {
 	// ID is the caller's identity of the statement; empty for the proxy's own statements.
 	ID string
@@ -43,7 +44,8 @@
 	Value string
 	// Writes is set for a prepare whose statement writes.
 	Writes bool
-	// Text is the statement as the caller sent it. When it is empty the protocol writes the statement from the other fields.
+	// Text is the statement as the caller sent it. When it is empty the protocol writes the statement from the other
+	// fields.
 	Text string
 }
 
--- a/story/story.go
+++ b/story/story.go
@@ -1,7 +1,8 @@
-// Package story tells from the logs of several daemons what happened to one request, or to what the daemons believed of a group.
+// Package story tells from the logs of several daemons what happened to one request, or to what the daemons believed
+// of a group.
 //
-// It reads lines of JSON, with or without a prefix, puts them in the order of their times and picks the ones that matter. It decides
-// nothing else.
+// It reads lines of JSON, with or without a prefix, puts them in the order of their times and picks the ones that
+// matter. It decides nothing else.
 package story
 
 import (
@@ -104,8 +105,8 @@
 
 func (l Line) belief() bool { return l.event >= firstBelief && l.event < lastBelief }
 
-// Request returns the lines about the request id, and what the daemons said about its group and their own state from before until
-// after it. lines must be sorted.
+// Request returns the lines about the request id, and what the daemons said about its group and their own state from
+// before until after it. lines must be sorted.
 func Request(lines []Line, id string, before, after time.Duration) []Line {
 	var own []Line
 	for _, l := range lines {
--- a/succession/model_test.go
+++ b/succession/model_test.go
@@ -50,8 +50,8 @@
 	return citronusher.Instant(0).Add(time.Duration(ticks) * tick)
 }
 
-// explore visits every order of events and returns a state in which a daemon may use the old primary although another one
-// leads, or nil.
+// explore visits every order of events and returns a state in which a daemon may use the old primary although
+// another one leads, or nil.
 func explore(p protections) *state {
 	first := state{ackAt: -1, effect: -1}
 	for u := range users {
@@ -89,8 +89,8 @@
 	return false
 }
 
-// next returns the states that any single event leads to. Frozen daemons, late messages and a store that is down are events
-// that happen later or never.
+// next returns the states that any single event leads to. Frozen daemons, late messages and a store that is down are
+// events that happen later or never.
 func (s state) next(p protections) []state {
 	var all []state
 	add := func(change func(*state)) {
--- a/succession/succession.go
+++ b/succession/succession.go
@@ -1,9 +1,10 @@
 // Package succession decides how a group's primary is replaced: who may do it, when, and which member follows.
 //
-// One daemon at a time holds the claim on a group, a row that the platform's store changes only under a condition. The claim's
-// token rises with each claim. The holder stops every replica from receiving, so that no right to use the old primary is
-// renewed any more, asks every daemon to give its right up, waits until the rights of those that did not answer have expired, and
-// orders the promotion in the first part of its claim, so that the order has taken effect before anyone else can claim. The package asks nobody and starts nothing.
+// One daemon at a time holds the claim on a group, a row that the platform's store changes only under a condition.
+// The claim's token rises with each claim. The holder stops every replica from receiving, so that no right to use
+// the old primary is renewed any more, asks every daemon to give its right up, waits until the rights of those that
+// did not answer have expired, and orders the promotion in the first part of its claim, so that the order has taken
+// effect before anyone else can claim. The package asks nobody and starts nothing.
 package succession
 
 import (
@@ -65,8 +66,9 @@
 // OrderDeadline returns until when the holder of a claim whose reading was asked for at askedAt may order a promotion.
 func OrderDeadline(askedAt citronusher.Instant) citronusher.Instant { return askedAt.Add(orderSpan) }
 
-// OrderAt returns from when a promotion may be ordered after the last replica stopped receiving at heldAt: at once when every
-// daemon has given its right up, and otherwise so late that at its effect every right that was renewed before has expired.
+// OrderAt returns from when a promotion may be ordered after the last replica stopped receiving at heldAt: at once
+// when every daemon has given its right up, and otherwise so late that at its effect every right that was renewed
+// before has expired.
 func OrderAt(heldAt citronusher.Instant, yielded bool) citronusher.Instant {
 	if yielded {
 		return heldAt
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -52,7 +52,8 @@
 		t.Error("nobody may replace a claim that has ended")
 	}
 	const slowestEffect = 1700 * time.Millisecond
-	if held := citronusher.Instant(0).Add(500 * time.Millisecond); succession.OrderAt(held, false) > succession.OrderDeadline(0) {
+	held500 := citronusher.Instant(0).Add(500 * time.Millisecond)
+	if succession.OrderAt(held500, false) > succession.OrderDeadline(0) {
 		t.Error("the rights of daemons that do not answer expire too late for the order")
 	}
 	if last := succession.OrderDeadline(0); last.Add(slowestEffect) > citronusher.Instant(succession.ClaimSpan) {
--- a/targets/group.go
+++ b/targets/group.go
@@ -56,8 +56,8 @@
 
 func (g *Group) now() citronusher.Instant { return g.set.config.Timer.Instant() }
 
-// configure takes the members' reports and divides their connections among the daemons. A member that lists lack is kept for a
-// while: reports expire while the platform's store is down.
+// configure takes the members' reports and divides their connections among the daemons. A member that lists lack is
+// kept for a while: reports expire while the platform's store is down.
 func (g *Group) configure(connections, daemons int, reports []citronusher.MemberReport) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/targets/hold.go
+++ b/targets/hold.go
@@ -82,9 +82,9 @@
 	}
 }
 
-// hopeless reports whether the request needs a primary that is lost and not expected back before the request's deadline. While only
-// this daemon's links are cut requests wait: the cut may heal, and a caller that was refused at once spends its retries in it. The
-// caller holds mu.
+// hopeless reports whether the request needs a primary that is lost and not expected back before the request's
+// deadline. While only this daemon's links are cut requests wait: the cut may heal, and a caller that was refused at
+// once spends its retries in it. The caller holds mu.
 func (g *Group) hopeless(t *place.Ticket, now citronusher.Instant) bool {
 	return g.needsPrimary(t) && !g.usablePrimary(now) && g.lostAt != 0 && (now > g.backAt || t.Deadline() < g.backAt)
 }
@@ -263,8 +263,8 @@
 	}
 }
 
-// Release gives the connection back for other requests. Its session state must be as Values and Prepared say, and it must not
-// be in a transaction.
+// Release gives the connection back for other requests. Its session state must be as Values and Prepared say, and it
+// must not be in a transaction.
 func (h *Hold) Release() {
 	g := h.group
 	g.mu.Lock()
--- a/targets/member.go
+++ b/targets/member.go
@@ -55,8 +55,8 @@
 	return &member{report: report, open: map[*conn]struct{}{}}
 }
 
-// setShare divides the member's connections among the daemons. A part stays free: the connections of daemons that lost power
-// linger, and their successors need some at once.
+// setShare divides the member's connections among the daemons. A part stays free: the connections of daemons that
+// lost power linger, and their successors need some at once.
 func (m *member) setShare(connections, daemons int) {
 	m.limit = max(shareLeast, (connections-connections/shareDivisor)/daemons)
 	m.limit = min(m.limit, max(1, connections/daemons))
@@ -97,8 +97,8 @@
 	}
 }
 
-// takeIdle returns the idle connection that was used last, or nil. Connections that the member has closed are dropped: what would
-// be sent on them has an unknown outcome.
+// takeIdle returns the idle connection that was used last, or nil. Connections that the member has closed are
+// dropped: what would be sent on them has an unknown outcome.
 func (m *member) takeIdle() *conn {
 	for len(m.idle) > 0 {
 		n := len(m.idle)
--- a/targets/move.go
+++ b/targets/move.go
@@ -157,8 +157,8 @@
 	return ""
 }
 
-// release lets members receive again that an earlier promotion stopped which never came to its end, and takes the primary over
-// that leads all the while. Only the holder of the claim may do so: no earlier order is under way then.
+// release lets members receive again that an earlier promotion stopped which never came to its end, and takes the
+// primary over that leads all the while. Only the holder of the claim may do so: no earlier order is under way then.
 func (m *move) release(reports []report) {
 	for _, r := range reports {
 		if r.err == nil && r.status.Held > m.term {
@@ -228,8 +228,8 @@
 	}
 }
 
-// hold makes every other member stop receiving, so that no right to use the old primary is renewed any more. It fails unless
-// all of them do: one that was left out could renew a right.
+// hold makes every other member stop receiving, so that no right to use the old primary is renewed any more. It
+// fails unless all of them do: one that was left out could renew a right.
 func (m *move) hold() string {
 	g := m.group
 	term := m.term + 1
@@ -312,8 +312,9 @@
 	return m.await(ctx, winner)
 }
 
-// yielded asks every daemon to give its right to the primary up, and reports whether all did. The list of daemons is read after the
-// replicas stopped: a daemon that is not in it can only begin rights later, and no replica renews them any more.
+// yielded asks every daemon to give its right to the primary up, and reports whether all did. The list of daemons is
+// read after the replicas stopped: a daemon that is not in it can only begin rights later, and no replica renews
+// them any more.
 func (m *move) yielded(ctx context.Context) bool {
 	g := m.group
 	instances, err := g.set.config.Store.Instances(ctx)
--- a/targets/set.go
+++ b/targets/set.go
@@ -1,8 +1,9 @@
-// Package targets holds the connections to the members of database groups: it gives requests a connection to the right
-// member, keeps the right to use each group's primary, notices members that stopped answering and promotes another primary.
+// Package targets holds the connections to the members of database groups: it gives requests a connection to the
+// right member, keeps the right to use each group's primary, notices members that stopped answering and promotes
+// another primary.
 //
-// What goes next and where is decided by package place, whether the primary may be used by package right, and how a promotion
-// goes by package succession.
+// What goes next and where is decided by package place, whether the primary may be used by package right, and how a
+// promotion goes by package succession.
 package targets
 
 import (
--- a/targets/watch.go
+++ b/targets/watch.go
@@ -77,6 +77,9 @@
 	g.background(g.look)
 }
 
+// question asks a member something on a connection, or orders it something.
+type question func(c *conn, deadline citronusher.Instant) (citronusher.MemberStatus, error)
+
 // report is a member's answer to a question.
 type report struct {
 	member  *member
@@ -88,7 +91,7 @@
 }
 
 // askAll asks every member at the same time.
-func (g *Group) askAll(limit time.Duration, ask func(*conn, citronusher.Instant) (citronusher.MemberStatus, error)) []report {
+func (g *Group) askAll(limit time.Duration, ask question) []report {
 	g.mu.Lock()
 	now := g.now()
 	list := make([]*member, 0, len(g.members))
@@ -116,7 +119,7 @@
 
 // ask puts one question to a member, on an idle connection or a new one.
 func (g *Group) ask(
-	m *member, limit time.Duration, question func(*conn, citronusher.Instant) (citronusher.MemberStatus, error),
+	m *member, limit time.Duration, ask question,
 ) report {
 	g.mu.Lock()
 	c := m.takeIdle()
@@ -130,11 +133,11 @@
 		}
 	}
 	r.askedAt = g.now()
-	r.status, r.err = question(c, deadline)
+	r.status, r.err = ask(c, deadline)
 	g.set.config.Meter.Probes().Inc(1)
 	g.returnAsked(m, c, r.err)
 	if r.err != nil && !fresh && citronusher.AsFailure(r.err).Reason() == citronusher.ReasonConnect && g.now() < deadline {
-		return g.ask(m, deadline.Sub(g.now()), question) // the idle connection was closed meanwhile
+		return g.ask(m, deadline.Sub(g.now()), ask) // the idle connection was closed meanwhile
 	}
 	return r
 }
@@ -334,7 +337,8 @@
 	return list
 }
 
-// warmIfEmpty opens a connection ahead of need, and looks whether a member that did not answer is back. The caller holds mu.
+// warmIfEmpty opens a connection ahead of need, and looks whether a member that did not answer is back. The caller
+// holds mu.
 func (g *Group) warmIfEmpty(m *member, now citronusher.Instant) {
 	enough := len(m.open) >= m.limit || len(m.idle) >= warmSpare || m.report.Leaving
 	if m.warming || m.replaced || now < m.downUntil || now < m.fullUntil || enough && !m.down {
@@ -371,8 +375,8 @@
 	g.background(func() { g.probe(m) })
 }
 
-// probe asks a silent member on a new connection. A member that does not answer loses its connections: what can be retried is
-// retried elsewhere.
+// probe asks a silent member on a new connection. A member that does not answer loses its connections: what can be
+// retried is retried elsewhere.
 func (g *Group) probe(m *member) {
 	c, err := g.dial(m, g.now().Add(probeLimit))
 	if err == nil {
@@ -390,8 +394,8 @@
 	m.probing = false
 }
 
-// noteDialFailure records that no connection could be opened. A member that answers on other connections is only too busy for
-// another one. The caller holds mu.
+// noteDialFailure records that no connection could be opened. A member that answers on other connections is only too
+// busy for another one. The caller holds mu.
 func (g *Group) noteDialFailure(m *member, now citronusher.Instant, err error) {
 	gone := errors.Is(err, citronusher.ErrRefused) || errors.Is(err, citronusher.ErrReplaced)
 	if !gone && now < m.heardAt.Add(aliveSpan) {
--- a/term/claim.go
+++ b/term/claim.go
@@ -32,8 +32,8 @@
 // Complete reports whether every member answered.
 func (c *Claim) Complete() bool { return len(c.fenced)+c.refused == c.members }
 
-// Winner returns the member to promote: the one with the latest log among the fenced members that allowed accepts. ok is
-// false before the claim is won or when there is none.
+// Winner returns the member to promote: the one with the latest log among the fenced members that allowed accepts.
+// ok is false before the claim is won or when there is none.
 func (c *Claim) Winner(allowed func(name string) bool) (name string, ok bool) {
 	if !c.Won() {
 		return "", false
--- a/term/watch.go
+++ b/term/watch.go
@@ -200,8 +200,8 @@
 	return Action{Promote: w.newest() + 1}
 }
 
-// hidden reports whether there may be a primary that this home has not seen: a member that is too busy to tell its role, or
-// one that replicas heard from, for as long as Patience lets them be right.
+// hidden reports whether there may be a primary that this home has not seen: a member that is too busy to tell its
+// role, or one that replicas heard from, for as long as Patience lets them be right.
 func (w *Watch) hidden(now time.Time) bool {
 	recent := now.Add(-w.limits.Silence)
 	for _, o := range w.members {
