prove: daemons of the users' platform as separate processes under kills, stops, freezes and a crash

Outcomes of writes (done once, not run never, unknown at most once) over kill, SIGTERM, crash and a leaving primary; a daemon that stood still over a promotion; SIGTERM and bad settings; a refused request explained from its id and the logs alone.

--- a/prove/process_test.go
+++ b/prove/process_test.go
@@ -40,6 +40,7 @@
 	Address   string                   `json:"address"`
 	Instances []platform.InstanceEntry `json:"instances"`
 	Settings  string                   `json:"settings"`
+	Path      string                   `json:"path"`
 	Mutant    string                   `json:"mutant"`
 }
 
@@ -77,6 +78,9 @@
 		_ = server.ListenAndServe()
 		return nil
 	}
+	if role == "gateway" {
+		return runGateway(s.Path)
+	}
 	checked, err := settings.Parse([]byte(s.Settings))
 	if err != nil {
 		return err
--- a/standin/users/member.go
+++ b/standin/users/member.go
@@ -74,7 +74,9 @@
 
 // Restart starts a crashed member again with its log; it forgets that it was told to stop receiving.
 func (m *Member) Restart() error {
-	m.with(func() { m.crashed, m.held = false, 0 })
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	m.crashed, m.held = false, 0
 	return m.listen(m.address)
 }
 
@@ -114,9 +116,9 @@
 }
 
 func (m *Member) stop() {
-	m.listener.Close()
 	m.group.mu.Lock()
 	defer m.group.mu.Unlock()
+	m.listener.Close()
 	for conn := range m.conns {
 		conn.Close()
 	}
