--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
@@ -21,6 +22,9 @@
 	copyPause = 60 * time.Millisecond
 )
 
+// spanPattern matches the time after which a caller is told to come back.
+var spanPattern = regexp.MustCompile(`\d+ ms`)
+
 // script plays a scenario: a platform, daemons before it, and callers.
 type script struct {
 	t        *testing.T
@@ -63,6 +67,8 @@
 		return s.call(d)
 	case "say":
 		return s.say(d)
+	case "reasons":
+		return s.reasons(d)
 	case "do":
 		return s.do(d)
 	default:
@@ -184,6 +190,21 @@
 	return out.String()
 }
 
+// reasons sends statements like say, and shows codes and messages of their errors.
+func (s *script) reasons(d *datadriven.TestData) string {
+	var out strings.Builder
+	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+		name, text, _ := strings.Cut(line, " ")
+		answer, err := s.callers[name].Say(text)
+		fmt.Fprintf(&out, "%s: %s %s", line, answer.Code, spanPattern.ReplaceAllString(answer.Message, "N ms"))
+		if err != nil {
+			fmt.Fprintf(&out, " %v", err)
+		}
+		out.WriteString("\n")
+	}
+	return out.String()
+}
+
 // show describes an answer. With signed it tells who signed it: the primary or a replica.
 func (s *script) show(a users.Answer, signed bool) string {
 	parts := append([]string{}, a.Rows...)
@@ -227,6 +248,8 @@
 	switch fields[0] {
 	case "crash":
 		s.member(fields[1]).Crash()
+	case "crash-primary":
+		s.group.Primary().Crash()
 	case "restart":
 		if err := s.member(fields[1]).Restart(); err != nil {
 			s.t.Fatal(err)
--- /dev/null
+++ b/settings/template_test.go
@@ -0,0 +1,45 @@
+package settings_test
+
+import (
+	"os"
+	"regexp"
+	"testing"
+
+	"citronusher.example/citronusher/settings"
+)
+
+// TestDeployTemplate fills the template of the users' platform in and checks the result as strictly as every settings file.
+func TestDeployTemplate(t *testing.T) {
+	body, err := os.ReadFile("../deploy/settings.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	values := map[string]string{
+		"NodeName": "front-oita-1", "Zone": "oita", "Ip": "10.3.0.5", "PortRange.0": "7440", "Bounds.GraceS": "6",
+		"BindAddrs.Frontend": "10.3.0.5:8784", "BindAddrs.Readiness": "10.3.0.5:8785", "platform.Address": "10.200.1.7:8783",
+		"Cloud.Address": "10.200.0.160:8783",
+	}
+	filled := regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(string(body), func(place string) string {
+		value, ok := values[place[2:len(place)-2]]
+		if !ok {
+			t.Errorf("the template has the unknown place %s", place)
+		}
+		return value
+	})
+	s, err := settings.Parse([]byte(filled))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Protocol() != settings.ProtocolLine || s.Entry() != "10.3.0.5:8784" || s.Peer() != "10.3.0.5:7440" ||
+		s.Store() != "10.200.1.7:8783" || s.Promotion() != "10.200.0.160:8783" || s.Drain().Seconds() != 6 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// TestLineNeedsItsPlatform checks that the line protocol is refused without the addresses that it needs.
+func TestLineNeedsItsPlatform(t *testing.T) {
+	_, err := settings.Parse([]byte(`{"protocol": "line", "name": "d1", "domain": "oita"}`))
+	if err == nil {
+		t.Error("settings without a store were accepted")
+	}
+}
--- a/targets/group.go
+++ b/targets/group.go
@@ -151,7 +151,7 @@
 		g.answer(a.Ticket, grant{member: m, conn: m.takeIdle()})
 	}
 	for _, t := range expired {
-		g.answer(t, grant{err: citronusher.Refuse(citronusher.ReasonQueue, "%s", g.whyWaiting(t, now))})
+		g.answer(t, grant{err: g.refuse(t, now)})
 	}
 }
 
@@ -163,14 +163,15 @@
 	}
 }
 
-// whyWaiting says why a request did not start. The caller holds mu.
-func (g *Group) whyWaiting(t *place.Ticket, now citronusher.Instant) string {
-	switch {
-	case (t.Need().Primary || !t.Need().Known) && !g.right.Valid(now):
-		return "the group's primary cannot be used now; try again in a second"
-	default:
-		return "the group's members are busy; try again later"
+// refuse says why a request did not start, and when to come back. The caller holds mu.
+func (g *Group) refuse(t *place.Ticket, now citronusher.Instant) *citronusher.Failure {
+	if g.needsPrimary(t) && !g.usablePrimary(now) {
+		back := max(backLeast, g.backAt.Sub(now)).Round(backLeast)
+		return citronusher.Refuse(citronusher.ReasonPrimary, "group %s has no usable primary now; try again in %d ms", g.name,
+			back.Milliseconds())
 	}
+	return citronusher.Refuse(citronusher.ReasonQueue, "the members of group %s are busy; try again in %d ms", g.name,
+		backLeast.Milliseconds())
 }
 
 // candidates describes the members for the choice. The caller holds mu.
@@ -233,4 +234,7 @@
 	return g.primary != "" && g.right.Valid(g.now())
 }
 
-const groupTick = 50 * time.Millisecond
+const (
+	groupTick = 50 * time.Millisecond
+	backLeast = 100 * time.Millisecond // the least time after which a refused caller is told to come back
+)
--- a/targets/hold.go
+++ b/targets/hold.go
@@ -62,7 +62,7 @@
 	g.mu.Lock()
 	now := g.now()
 	if g.queue.Remove(t) {
-		g.answer(t, grant{err: citronusher.Refuse(citronusher.ReasonQueue, "%s", g.whyWaiting(t, now))})
+		g.answer(t, grant{err: g.refuse(t, now)})
 	}
 	g.dispatch(now)
 	g.mu.Unlock()
@@ -76,7 +76,7 @@
 	case g.closed:
 		return citronusher.Refuse(citronusher.ReasonLeaving, "the group is no longer served here")
 	case t.Deadline() <= now, g.hopeless(t, now):
-		return citronusher.Refuse(citronusher.ReasonQueue, "%s", g.whyWaiting(t, now))
+		return g.refuse(t, now)
 	default:
 		return nil
 	}
@@ -98,7 +98,7 @@
 // refuseHopeless refuses the waiting requests that cannot start before their deadline. The caller holds mu.
 func (g *Group) refuseHopeless(now citronusher.Instant) {
 	for _, t := range g.queue.Drop(func(t *place.Ticket) bool { return g.hopeless(t, now) }) {
-		g.answer(t, grant{err: citronusher.Refuse(citronusher.ReasonPrimary, "%s", g.whyWaiting(t, now))})
+		g.answer(t, grant{err: g.refuse(t, now)})
 	}
 }
 
