targets: daemons do not wait for a dark member when they look for the primary

Change: the members that are up are asked first; only if they show no primary the others are asked too.

--- a/targets/move.go
+++ b/targets/move.go
@@ -130,7 +130,7 @@
 	m.seen = reports
 	newest, leads := m.newest(reports)
 	if newest > m.term {
-		m.adopt(reports)
+		g.adoptFrom(reports)
 		return "a newer term exists"
 	}
 	if m.planned {
@@ -169,7 +169,7 @@
 		m.resume()
 		reports = m.group.askAll(lookLimit, status)
 	}
-	m.adopt(reports)
+	m.group.adoptFrom(reports)
 }
 
 // newest returns the newest term in reports and whether the primary to be replaced still leads under it.
@@ -196,12 +196,6 @@
 	return position
 }
 
-func (m *move) adopt(reports []report) {
-	m.group.mu.Lock()
-	defer m.group.mu.Unlock()
-	m.group.adopt(reports)
-}
-
 // stepDown makes a leaving primary a replica and waits until another member has received all of its log.
 func (m *move) stepDown() {
 	g := m.group
@@ -355,7 +349,7 @@
 		time.Sleep(effectPause)
 		r := g.ask(next, lookLimit, status)
 		if r.err == nil && r.status.Role == citronusher.RolePrimary {
-			m.adopt(g.askAll(lookLimit, status))
+			g.adoptFrom(g.askUp(lookLimit, status))
 			m.demoteOld(r.status.Term)
 			return ""
 		}
--- a/targets/watch.go
+++ b/targets/watch.go
@@ -90,13 +90,22 @@
 	err     error
 }
 
-// askAll asks every member at the same time.
+// askAll asks every member at the same time, those that were down lately left out.
 func (g *Group) askAll(limit time.Duration, ask question) []report {
-	g.mu.Lock()
 	now := g.now()
+	return g.askSome(limit, ask, func(m *member) bool { return now >= m.downUntil })
+}
+
+// askUp asks every member that is not down at the same time. It does not wait for one that went silent.
+func (g *Group) askUp(limit time.Duration, ask question) []report {
+	return g.askSome(limit, ask, func(m *member) bool { return !m.down })
+}
+
+func (g *Group) askSome(limit time.Duration, ask question, chosen func(*member) bool) []report {
+	g.mu.Lock()
 	list := make([]*member, 0, len(g.members))
 	for _, m := range g.members {
-		if now >= m.downUntil && !m.replaced {
+		if chosen(m) && !m.replaced {
 			list = append(list, m)
 		}
 	}
@@ -162,17 +171,19 @@
 
 // look asks every member and takes over the primary that the answers show.
 func (g *Group) look() {
-	known := g.set.isKnown()
-	var reports []report
-	if known {
-		reports = g.askAll(lookLimit, status)
+	if g.set.isKnown() && !g.adoptFrom(g.askUp(lookLimit, status)) {
+		g.adoptFrom(g.askAll(lookLimit, status))
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.looking = false
-	if known {
-		g.adopt(reports)
-	}
+}
+
+// adoptFrom takes over the primary that reports show, and reports whether they show one.
+func (g *Group) adoptFrom(reports []report) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.adopt(reports)
 }
 
 // yield gives up the right to the primary up to a term, because another daemon is about to replace it.
@@ -190,8 +201,8 @@
 	g.wake()
 }
 
-// adopt takes over the primary that reports show, if they show one. The caller holds mu.
-func (g *Group) adopt(reports []report) {
+// adopt is adoptFrom for a caller that holds mu.
+func (g *Group) adopt(reports []report) bool {
 	now := g.now()
 	var leader *report
 	for i := range reports {
@@ -205,11 +216,11 @@
 		}
 	}
 	if leader == nil && anyBusy(reports) {
-		return // the one that has no free connection may lead
+		return false // the one that has no free connection may lead
 	}
 	if leader == nil || leader.status.Term < g.highest {
 		g.noteLost(now, false)
-		return
+		return false
 	}
 	fresh := g.right // keeps since when reports count
 	fresh.Begin(leader.status.Term)
@@ -220,9 +231,10 @@
 	}
 	if fresh.Closed() {
 		g.noteLost(now, false)
-		return
+		return false
 	}
 	g.lead(leader, fresh, now)
+	return true
 }
 
 // anyBusy reports whether a member lives but had no time or no connection for an answer.
