--- a/prove/users_test.go
+++ b/prove/users_test.go
@@ -105,9 +105,9 @@
 	})
 }
 
-func (s *site) call(i int, database, name string) *users.Caller {
+func (s *site) call(i int, name string) *users.Caller {
 	s.t.Helper()
-	c, err := users.Call(s.entries[i], database, name)
+	c, err := users.Call(s.entries[i], "fresh", name)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -229,7 +229,7 @@
 // still answers. It reads nothing from there.
 func TestUsersFrozenDaemon(t *testing.T) {
 	s := newSite(t, 3)
-	frozen, other := s.call(1, "fresh", "frozen"), s.call(0, "fresh", "other")
+	frozen, other := s.call(1, "frozen"), s.call(0, "other")
 	s.must(frozen, "WRITE x old")
 	s.daemons[1].signal(t, syscall.SIGSTOP)
 	old := s.group.Primary()
@@ -261,7 +261,7 @@
 		t.Fatal(err)
 	}
 	s.daemons[0].signal(t, syscall.SIGHUP)
-	c := s.call(0, "fresh", "reload")
+	c := s.call(0, "reload")
 	s.must(c, "WRITE x one")
 	s.await("the refusal", func() bool {
 		body, err := os.ReadFile(s.daemons[0].log)
@@ -269,7 +269,7 @@
 	})
 	s.must(c, "READ x")
 	s.daemons[1].signal(t, syscall.SIGTERM)
-	leaving := s.call(1, "fresh", "leaving")
+	leaving := s.call(1, "leaving")
 	s.must(leaving, "BEGIN")
 	s.must(leaving, "WRITE y two")
 	s.must(leaving, "COMMIT")
@@ -291,7 +291,7 @@
 // causes from the request's id and the logs alone.
 func TestUsersFailureIsExplained(t *testing.T) {
 	s := newSite(t, 2)
-	c := s.call(0, "fresh", "story")
+	c := s.call(0, "story")
 	s.must(c, "WRITE x one")
 	s.platform.Fail(503)
 	s.group.Primary().Crash()
--- a/targets/move.go
+++ b/targets/move.go
@@ -15,7 +15,6 @@
 const (
 	moveLimit    = 4 * time.Second        // for a whole promotion
 	yieldLimit   = 300 * time.Millisecond // for a daemon to give its right up
-	holdLimit    = 300 * time.Millisecond // for a replica's answer to the order to stop receiving
 	catchUpLimit = 400 * time.Millisecond // for a replica to receive what a leaving primary has
 	catchUpPause = 15 * time.Millisecond
 	effectPause  = 40 * time.Millisecond   // between two looks at the promoted member
@@ -126,7 +125,7 @@
 // examine makes sure that the primary is really lost, unless it leaves.
 func (m *move) examine() string {
 	g := m.group
-	reports := g.askAll(lookLimit, status)
+	reports := g.askAll(status)
 	m.seen = reports
 	newest, leads := m.newest(reports)
 	if newest > m.term {
@@ -151,7 +150,7 @@
 	}
 	before := latest(reports)
 	time.Sleep(aliveWindow)
-	if before.Less(latest(g.askAll(lookLimit, status))) {
+	if before.Less(latest(g.askAll(status))) {
 		return "replicas receive from the primary: only this daemon cannot reach it"
 	}
 	return ""
@@ -167,7 +166,7 @@
 	}
 	if len(m.held) > 0 {
 		m.resume()
-		reports = m.group.askAll(lookLimit, status)
+		reports = m.group.askAll(status)
 	}
 	m.group.adoptFrom(reports)
 }
@@ -205,7 +204,7 @@
 	if primary == nil {
 		return
 	}
-	last := g.ask(primary, holdLimit, func(c *conn, deadline citronusher.Instant) (citronusher.MemberStatus, error) {
+	last := g.ask(primary, answerLimit, func(c *conn, deadline citronusher.Instant) (citronusher.MemberStatus, error) {
 		return c.link.Demote(deadline, m.term+1)
 	})
 	if last.err != nil {
@@ -213,7 +212,7 @@
 	}
 	waitDeadline := g.now().Add(catchUpLimit)
 	for g.now() < waitDeadline {
-		for _, r := range g.askAll(holdLimit, status) {
+		for _, r := range g.askAll(status) {
 			if r.err == nil && r.member != primary && !r.leaving && !r.status.Position.Less(last.status.Position) {
 				return
 			}
@@ -235,7 +234,7 @@
 	if why := m.unreachable(); why != "" {
 		return why
 	}
-	reports := g.askAll(holdLimit, func(c *conn, deadline citronusher.Instant) (citronusher.MemberStatus, error) {
+	reports := g.askAll(func(c *conn, deadline citronusher.Instant) (citronusher.MemberStatus, error) {
 		return c.link.Hold(deadline, term)
 	})
 	for _, r := range reports {
@@ -270,7 +269,7 @@
 	var tasks errgroup.Group
 	for _, r := range m.held {
 		tasks.Go(func() error {
-			m.group.ask(r.member, holdLimit, func(c *conn, deadline citronusher.Instant) (citronusher.MemberStatus, error) {
+			m.group.ask(r.member, answerLimit, func(c *conn, deadline citronusher.Instant) (citronusher.MemberStatus, error) {
 				return citronusher.MemberStatus{}, c.link.Resume(deadline)
 			})
 			return nil
@@ -347,9 +346,9 @@
 	g.mu.Unlock()
 	for next != nil && ctx.Err() == nil {
 		time.Sleep(effectPause)
-		r := g.ask(next, lookLimit, status)
+		r := g.ask(next, answerLimit, status)
 		if r.err == nil && r.status.Role == citronusher.RolePrimary {
-			g.adoptFrom(g.askUp(lookLimit, status))
+			g.adoptFrom(g.askUp(status))
 			m.demoteOld(r.status.Term)
 			return ""
 		}
@@ -365,7 +364,7 @@
 	reachable := old != nil && m.primary != g.primary && g.now() >= old.downUntil
 	g.mu.Unlock()
 	if reachable {
-		g.ask(old, holdLimit, func(c *conn, deadline citronusher.Instant) (citronusher.MemberStatus, error) {
+		g.ask(old, answerLimit, func(c *conn, deadline citronusher.Instant) (citronusher.MemberStatus, error) {
 			return c.link.Demote(deadline, term)
 		})
 	}
--- a/targets/watch.go
+++ b/targets/watch.go
@@ -16,7 +16,7 @@
 	renewLimit  = 200 * time.Millisecond // for one replica's answer
 	renewIdle   = 3 * time.Second        // without requests for the primary the right is not renewed
 	lookPause   = 120 * time.Millisecond // between two looks for the primary
-	lookLimit   = 300 * time.Millisecond // for one member's answer
+	answerLimit = 300 * time.Millisecond // for one member's answer
 	aliveSpan   = 400 * time.Millisecond // a member that answered so lately is alive
 	silentAfter = 150 * time.Millisecond // a member that leaves a statement unanswered for so long is probed
 	probeLimit  = 250 * time.Millisecond // for a probe's answer
@@ -91,17 +91,17 @@
 }
 
 // askAll asks every member at the same time, those that were down lately left out.
-func (g *Group) askAll(limit time.Duration, ask question) []report {
+func (g *Group) askAll(ask question) []report {
 	now := g.now()
-	return g.askSome(limit, ask, func(m *member) bool { return now >= m.downUntil })
+	return g.askSome(ask, func(m *member) bool { return now >= m.downUntil })
 }
 
 // askUp asks every member that is not down at the same time. It does not wait for one that went silent.
-func (g *Group) askUp(limit time.Duration, ask question) []report {
-	return g.askSome(limit, ask, func(m *member) bool { return !m.down })
+func (g *Group) askUp(ask question) []report {
+	return g.askSome(ask, func(m *member) bool { return !m.down })
 }
 
-func (g *Group) askSome(limit time.Duration, ask question, chosen func(*member) bool) []report {
+func (g *Group) askSome(ask question, chosen func(*member) bool) []report {
 	g.mu.Lock()
 	list := make([]*member, 0, len(g.members))
 	for _, m := range g.members {
@@ -114,7 +114,7 @@
 	var tasks errgroup.Group
 	for i, m := range list {
 		tasks.Go(func() error {
-			reports[i] = g.ask(m, limit, ask)
+			reports[i] = g.ask(m, answerLimit, ask)
 			return nil
 		})
 	}
@@ -171,8 +171,8 @@
 
 // look asks every member and takes over the primary that the answers show.
 func (g *Group) look() {
-	if g.set.isKnown() && !g.adoptFrom(g.askUp(lookLimit, status)) {
-		g.adoptFrom(g.askAll(lookLimit, status))
+	if g.set.isKnown() && !g.adoptFrom(g.askUp(status)) {
+		g.adoptFrom(g.askAll(status))
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
