targets: one daemon a group asks a replica for renewals, the others ask that daemon

Change: the first daemon by rendezvous hashing renews each 450 ms and tells the others how long ago the replica was asked; they count from when they asked, less that time, which is never later than when the replica was asked. When it cannot tell they ask a replica.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -110,7 +110,7 @@
 	g.follower = follow.New(follow.Config{
 		Self:  citronusher.NewInstance(s.Name(), g.peers.Address(), s.Domain(), citronusher.InstanceLive),
 		Store: g.store, Plan: g.targets.Apply, Members: g.targets.SetMembers,
-		Instances:  func(list []citronusher.Instance) { g.targets.SetDaemons(len(list)) },
+		Instances:  g.targets.SetDaemons,
 		Registered: g.targets.SetKnown, Peers: peer.GroupClient{}, Logger: g.logger, Meter: g.meter,
 	})
 	return nil
@@ -142,6 +142,11 @@
 // Yield gives up the right to a group's primary for another daemon.
 func (g *Gateway) Yield(group string, term uint64) { g.targets.Yield(group, term) }
 
+// Renewed tells another daemon of the right to a group's primary.
+func (g *Gateway) Renewed(group string, term uint64) (time.Duration, bool) {
+	return g.targets.Renewed(group, term)
+}
+
 // Learn tells another daemon what this one knows.
 func (g *Gateway) Learn(version uint64) citronusher.Knowledge {
 	if f := g.following(); f != nil {
--- a/peer/group.go
+++ b/peer/group.go
@@ -24,6 +24,9 @@
 type GroupHandler interface {
 	// Yield gives up the rights to primaries of a group up to a term.
 	Yield(group string, term uint64)
+	// Renewed returns how long ago a replica was asked that renewed the daemon's right to a group's primary of a term, and
+	// false when it has no such right.
+	Renewed(group string, term uint64) (age time.Duration, ok bool)
 	// Learn returns what the daemon knows that is newer than the plan's version.
 	Learn(version uint64) citronusher.Knowledge
 }
@@ -66,6 +69,14 @@
 	return connect.NewResponse(&peerpb.YieldResponse{}), nil
 }
 
+// Renew tells of the daemon's right.
+func (s *GroupServer) Renew(
+	_ context.Context, request *connect.Request[peerpb.RenewRequest],
+) (*connect.Response[peerpb.RenewResponse], error) {
+	age, ok := s.handler.Renewed(request.Msg.GetGroup(), request.Msg.GetTerm())
+	return connect.NewResponse(&peerpb.RenewResponse{Valid: ok, Age: age.Microseconds()}), nil
+}
+
 // Learn tells what the daemon knows.
 func (s *GroupServer) Learn(
 	_ context.Context, request *connect.Request[peerpb.LearnRequest],
@@ -116,6 +127,22 @@
 	return nil
 }
 
+// Renewed asks a daemon for its right. Its error wraps ErrUnavailable, or ErrNotFound when it has none.
+func (c GroupClient) Renewed(
+	ctx context.Context, instance citronusher.Instance, group string, term uint64,
+) (time.Duration, error) {
+	client, done := c.call(instance)
+	defer done()
+	response, err := client.Renew(ctx, connect.NewRequest(&peerpb.RenewRequest{Group: group, Term: term}))
+	if err != nil {
+		return 0, fmt.Errorf("%w: daemon %s: %w", citronusher.ErrUnavailable, instance.Name(), err)
+	}
+	if !response.Msg.GetValid() {
+		return 0, fmt.Errorf("%w: right of daemon %s", citronusher.ErrNotFound, instance.Name())
+	}
+	return time.Duration(response.Msg.GetAge()) * time.Microsecond, nil
+}
+
 // Learn asks a daemon what it knows. Its error wraps ErrUnavailable or ErrInvalid.
 func (c GroupClient) Learn(
 	ctx context.Context, instance citronusher.Instance, version uint64,
--- a/peer/peerpb/group.connect.go
+++ b/peer/peerpb/group.connect.go
@@ -35,6 +35,8 @@
 const (
 	// GroupServiceYieldProcedure is the fully-qualified name of the GroupService's Yield RPC.
 	GroupServiceYieldProcedure = "/citronusher.peer.v1.GroupService/Yield"
+	// GroupServiceRenewProcedure is the fully-qualified name of the GroupService's Renew RPC.
+	GroupServiceRenewProcedure = "/citronusher.peer.v1.GroupService/Renew"
 	// GroupServiceLearnProcedure is the fully-qualified name of the GroupService's Learn RPC.
 	GroupServiceLearnProcedure = "/citronusher.peer.v1.GroupService/Learn"
 )
@@ -43,6 +45,8 @@
 type GroupServiceClient interface {
 	// Yield makes the receiver give up its right to use a group's primary.
 	Yield(context.Context, *connect.Request[YieldRequest]) (*connect.Response[YieldResponse], error)
+	// Renew tells when a replica last renewed the receiver's right to a group's primary, so that the sender need not ask one.
+	Renew(context.Context, *connect.Request[RenewRequest]) (*connect.Response[RenewResponse], error)
 	// Learn returns the plan and the members that the receiver knows.
 	Learn(context.Context, *connect.Request[LearnRequest]) (*connect.Response[LearnResponse], error)
 }
@@ -64,6 +68,12 @@
 			connect.WithSchema(groupServiceMethods.ByName("Yield")),
 			connect.WithClientOptions(opts...),
 		),
+		renew: connect.NewClient[RenewRequest, RenewResponse](
+			httpClient,
+			baseURL+GroupServiceRenewProcedure,
+			connect.WithSchema(groupServiceMethods.ByName("Renew")),
+			connect.WithClientOptions(opts...),
+		),
 		learn: connect.NewClient[LearnRequest, LearnResponse](
 			httpClient,
 			baseURL+GroupServiceLearnProcedure,
@@ -76,6 +86,7 @@
 // groupServiceClient implements GroupServiceClient.
 type groupServiceClient struct {
 	yield *connect.Client[YieldRequest, YieldResponse]
+	renew *connect.Client[RenewRequest, RenewResponse]
 	learn *connect.Client[LearnRequest, LearnResponse]
 }
 
@@ -84,6 +95,11 @@
 	return c.yield.CallUnary(ctx, req)
 }
 
+// Renew calls citronusher.peer.v1.GroupService.Renew.
+func (c *groupServiceClient) Renew(ctx context.Context, req *connect.Request[RenewRequest]) (*connect.Response[RenewResponse], error) {
+	return c.renew.CallUnary(ctx, req)
+}
+
 // Learn calls citronusher.peer.v1.GroupService.Learn.
 func (c *groupServiceClient) Learn(ctx context.Context, req *connect.Request[LearnRequest]) (*connect.Response[LearnResponse], error) {
 	return c.learn.CallUnary(ctx, req)
@@ -93,6 +109,8 @@
 type GroupServiceHandler interface {
 	// Yield makes the receiver give up its right to use a group's primary.
 	Yield(context.Context, *connect.Request[YieldRequest]) (*connect.Response[YieldResponse], error)
+	// Renew tells when a replica last renewed the receiver's right to a group's primary, so that the sender need not ask one.
+	Renew(context.Context, *connect.Request[RenewRequest]) (*connect.Response[RenewResponse], error)
 	// Learn returns the plan and the members that the receiver knows.
 	Learn(context.Context, *connect.Request[LearnRequest]) (*connect.Response[LearnResponse], error)
 }
@@ -110,6 +128,12 @@
 		connect.WithSchema(groupServiceMethods.ByName("Yield")),
 		connect.WithHandlerOptions(opts...),
 	)
+	groupServiceRenewHandler := connect.NewUnaryHandler(
+		GroupServiceRenewProcedure,
+		svc.Renew,
+		connect.WithSchema(groupServiceMethods.ByName("Renew")),
+		connect.WithHandlerOptions(opts...),
+	)
 	groupServiceLearnHandler := connect.NewUnaryHandler(
 		GroupServiceLearnProcedure,
 		svc.Learn,
@@ -120,6 +144,8 @@
 		switch r.URL.Path {
 		case GroupServiceYieldProcedure:
 			groupServiceYieldHandler.ServeHTTP(w, r)
+		case GroupServiceRenewProcedure:
+			groupServiceRenewHandler.ServeHTTP(w, r)
 		case GroupServiceLearnProcedure:
 			groupServiceLearnHandler.ServeHTTP(w, r)
 		default:
@@ -135,6 +161,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("citronusher.peer.v1.GroupService.Yield is not implemented"))
 }
 
+func (UnimplementedGroupServiceHandler) Renew(context.Context, *connect.Request[RenewRequest]) (*connect.Response[RenewResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("citronusher.peer.v1.GroupService.Renew is not implemented"))
+}
+
 func (UnimplementedGroupServiceHandler) Learn(context.Context, *connect.Request[LearnRequest]) (*connect.Response[LearnResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("citronusher.peer.v1.GroupService.Learn is not implemented"))
 }
--- a/right/right.go
+++ b/right/right.go
@@ -71,3 +71,18 @@
 	r.deadline = max(r.deadline, askedAt.Add(Span))
 	return Renewed
 }
+
+// Share takes a renewal that another daemon received from a replica. askedAt is on this daemon's clock, not later than when that
+// replica was asked.
+func (r *Right) Share(term uint64, askedAt citronusher.Instant) Verdict {
+	if r.closed || term != r.term || r.term == 0 || askedAt <= r.after {
+		return Silent
+	}
+	r.deadline = max(r.deadline, askedAt.Add(Span))
+	return Renewed
+}
+
+// AskedAt returns when the question was sent that renewed the right last; false when none has.
+func (r *Right) AskedAt() (citronusher.Instant, bool) {
+	return r.deadline.Add(-Span), r.deadline != 0
+}
--- a/right/right_test.go
+++ b/right/right_test.go
@@ -18,6 +18,10 @@
 	return citronusher.Instant(0).Add(time.Duration(milliseconds) * time.Millisecond)
 }
 
+var verdicts = map[right.Verdict]string{
+	right.Renewed: "renewed", right.Silent: "proves nothing", right.Superseded: "superseded",
+}
+
 func number(t *testing.T, text string) int {
 	t.Helper()
 	n, err := strconv.Atoi(text)
@@ -42,10 +46,10 @@
 					Role: citronusher.Role(fields[1]), Term: uint64(number(t, fields[2])), //nolint:gosec // small
 					Held: uint64(number(t, fields[3])), //nolint:gosec // small
 				}
-				verdicts := map[right.Verdict]string{
-					right.Renewed: "renewed", right.Silent: "proves nothing", right.Superseded: "superseded",
-				}
 				fmt.Fprintf(&out, "%s: %s\n", line, verdicts[r.Report(status, at(number(t, fields[5])))])
+			case "share": // share TERM asked AT
+				verdict := r.Share(uint64(number(t, fields[1])), at(number(t, fields[3]))) //nolint:gosec // small
+				fmt.Fprintf(&out, "%s: %s\n", line, verdicts[verdict])
 			case "yield":
 				r.Yield(at(number(t, fields[1])))
 			case "valid":
--- a/targets/group.go
+++ b/targets/group.go
@@ -28,6 +28,7 @@
 	kicked    chan struct{} // holds a token while the watch has something to do at once
 	usedAt    citronusher.Instant
 	renewAt   citronusher.Instant // when the last renewal was asked for
+	sharedAt  citronusher.Instant // when another daemon was asked for its renewal last
 	renewing  bool
 	expiredAt citronusher.Instant // when it was last logged that the right expired
 	looking   bool
--- a/targets/set.go
+++ b/targets/set.go
@@ -10,11 +10,14 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"citronusher.example/citronusher"
 	"citronusher.example/citronusher/meter"
+	"citronusher.example/citronusher/route"
 )
 
 // Config holds what the targets need from their daemon.
@@ -54,7 +57,9 @@
 	plan    citronusher.Plan
 	reports []citronusher.MemberReport
 	daemons int
-	known   bool // the other daemons can find this one, and ask it to give rights up
+
+	list  atomic.Pointer[[]citronusher.Instance] // the daemons; read while a group's mutex is held
+	known bool                                   // the other daemons can find this one, and ask it to give rights up
 }
 
 // New returns a set without groups.
@@ -79,14 +84,37 @@
 	s.update()
 }
 
-// SetDaemons takes the number of daemons that share the members' connections.
-func (s *Set) SetDaemons(count int) {
+// SetDaemons takes the daemons that share the members' connections.
+func (s *Set) SetDaemons(list []citronusher.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.daemons = max(1, count)
+	s.daemons = max(1, len(list))
+	s.list.Store(&list)
 	s.update()
 }
 
+// prober returns the daemon that renews the right to a group for the others, and whether that is another one than this.
+func (s *Set) prober(group string) (citronusher.Instance, bool) {
+	list := s.list.Load()
+	if list == nil {
+		return citronusher.Instance{}, false
+	}
+	first := route.Homes(group, *list, 1)
+	if len(first) == 0 || first[0].Name() == s.config.Self {
+		return citronusher.Instance{}, false
+	}
+	return first[0], true
+}
+
+// Renewed tells another daemon how long ago a replica was asked that renewed the right to a group's primary of a term.
+func (s *Set) Renewed(group string, term uint64) (time.Duration, bool) {
+	g, ok := s.Group(group)
+	if !ok {
+		return 0, false
+	}
+	return g.renewed(term)
+}
+
 // SetKnown allows rights to be used: the daemon is registered, so that whoever promotes a member asks it first.
 func (s *Set) SetKnown() {
 	s.mu.Lock()
--- a/targets/watch.go
+++ b/targets/watch.go
@@ -1,6 +1,7 @@
 package targets
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -12,6 +13,9 @@
 )
 
 const (
+	shareAfter  = 450 * time.Millisecond // the same for the daemon that renews for the others
+	sharePause  = 450 * time.Millisecond // before another daemon is asked again
+	shareLimit  = 150 * time.Millisecond // for another daemon's answer
 	renewAfter  = 900 * time.Millisecond // after the question that renewed the right last
 	renewLimit  = 200 * time.Millisecond // for one replica's answer
 	renewIdle   = 3 * time.Second        // without requests for the primary the right is not renewed
@@ -284,11 +288,59 @@
 // renewIfNeeded asks a replica to renew the right, while requests use the primary. The caller holds mu.
 func (g *Group) renewIfNeeded(now citronusher.Instant) {
 	used := g.queue.Primary() > 0 || now < g.usedAt.Add(renewIdle)
-	if g.renewing || g.right.Term() == 0 || g.right.Closed() || !used || now < g.renewAt.Add(renewAfter) {
+	if g.renewing || g.right.Term() == 0 || g.right.Closed() || !used || now < g.renewAt.Add(shareAfter) {
 		return
 	}
-	g.renewing = true
-	g.background(g.renew)
+	prober, other := g.set.prober(g.name)
+	switch {
+	case !other:
+		g.renewing = true
+		g.background(g.renew)
+	case other && now >= g.sharedAt.Add(sharePause):
+		g.renewing = true
+		g.sharedAt = now
+		g.background(func() { g.share(prober) })
+	}
+}
+
+// share asks the daemon that renews for the others, and a replica when that daemon cannot tell and the right gets old.
+func (g *Group) share(prober citronusher.Instance) {
+	g.mu.Lock()
+	term := g.right.Term()
+	g.mu.Unlock()
+	ctx, cancel := context.WithTimeout(g.set.ctx, shareLimit)
+	sentAt := g.now()
+	age, err := g.set.config.Peers.Renewed(ctx, prober, g.name, term)
+	cancel()
+	g.mu.Lock()
+	if err == nil && g.right.Share(term, sentAt.Add(-age)) == right.Renewed {
+		g.renewAt = max(g.renewAt, sentAt.Add(-age))
+		g.wake()
+		g.dispatch(g.now())
+	}
+	old := g.now() >= g.renewAt.Add(renewAfter)
+	if !old {
+		g.renewing = false
+	}
+	g.mu.Unlock()
+	if old {
+		g.renew()
+	}
+}
+
+// renewed returns how long ago the replica was asked that renewed the right of a term. Being asked counts as use: others rely on
+// the renewals.
+func (g *Group) renewed(term uint64) (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	g.usedAt = now
+	askedAt, ok := g.right.AskedAt()
+	if !ok || g.right.Term() != term || !g.right.Valid(now) {
+		g.kick()
+		return 0, false
+	}
+	return now.Sub(askedAt), true
 }
 
 // renew asks one replica after the other until one renews the right.
