--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -266,6 +266,8 @@
 		s.member(fields[1]).Hold(uint64(s.number(fields[2]))) //nolint:gosec // small
 	case "lose-answer":
 		s.member(fields[1]).LoseAnswer()
+	case "break":
+		s.member(fields[1]).Break()
 	case "busy":
 		s.member(fields[1]).Refuse(s.number(fields[2]))
 	case "cut":
--- a/plan.go
+++ b/plan.go
@@ -129,8 +129,8 @@
 	// Yield makes a daemon give up its rights to a group's primaries up to term, on behalf of claim. Its error wraps
 	// ErrRefused when the daemon does not run, and ErrUnavailable when it did not answer.
 	Yield(ctx context.Context, instance Instance, group string, claim Claim, term uint64) error
-	// Renewed returns how long before its answer a daemon asked the replica that renewed its right to a group's primary of a
-	// term. Its error wraps ErrUnavailable, or ErrNotFound when it has no such right.
+	// Renewed returns how long before its answer a daemon asked the replica that renewed its right to a group's primary
+	// of a term. Its error wraps ErrUnavailable, or ErrNotFound when it has no such right.
 	Renewed(ctx context.Context, instance Instance, group string, term uint64) (time.Duration, error)
 	// Learn returns what a daemon knows, and its plan if that is newer than version. Its error wraps ErrUnavailable.
 	Learn(ctx context.Context, instance Instance, version uint64) (Knowledge, error)
--- a/right/right.go
+++ b/right/right.go
@@ -72,8 +72,8 @@
 	return Renewed
 }
 
-// Share takes a renewal that another daemon received from a replica. askedAt is on this daemon's clock, not later than when that
-// replica was asked.
+// Share takes a renewal that another daemon received from a replica. askedAt is on this daemon's clock, not later
+// than when that replica was asked.
 func (r *Right) Share(term uint64, askedAt citronusher.Instant) Verdict {
 	if r.closed || term != r.term || r.term == 0 || askedAt <= r.after {
 		return Silent
--- a/settings/template_test.go
+++ b/settings/template_test.go
@@ -8,7 +8,8 @@
 	"citronusher.example/citronusher/settings"
 )
 
-// TestDeployTemplate fills the template of the users' platform in and checks the result as strictly as every settings file.
+// TestDeployTemplate fills the template of the users' platform in and checks the result as strictly as every
+// settings file.
 func TestDeployTemplate(t *testing.T) {
 	body, err := os.ReadFile("../deploy/settings.json")
 	if err != nil {
--- a/standin/users/member.go
+++ b/standin/users/member.go
@@ -34,6 +34,7 @@
 
 	crashed, dark, deaf, cut, leaving bool
 	loseNext                          bool // the next answer to a write or commit is lost
+	breakNext                         bool // the next read, write or commit breaks its connection and does not run
 	busyNext                          int  // so many statements are refused
 	pauses                            int
 }
@@ -105,6 +106,9 @@
 // LoseAnswer makes the answer to the next write or commit get lost after it took effect.
 func (m *Member) LoseAnswer() { m.with(func() { m.loseNext = true }) }
 
+// Break makes the connection of the next read, write or commit break before it runs.
+func (m *Member) Break() { m.with(func() { m.breakNext = true }) }
+
 // Refuse makes the member refuse the next statements as busy.
 func (m *Member) Refuse(count int) { m.with(func() { m.busyNext = count }) }
 
@@ -272,6 +276,10 @@
 	}
 	m.group.mu.Lock()
 	defer m.group.mu.Unlock()
+	if slotted && m.breakNext {
+		m.breakNext = false
+		return "", true
+	}
 	if slotted && m.busyNext > 0 {
 		m.busyNext--
 		return s.failed("BUSY"), false
--- a/targets/move.go
+++ b/targets/move.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -266,16 +267,15 @@
 
 // resume lets the members receive again.
 func (m *move) resume() {
-	var tasks errgroup.Group
+	var tasks sync.WaitGroup
 	for _, r := range m.held {
-		tasks.Go(func() error {
+		tasks.Go(func() {
 			m.group.ask(r.member, answerLimit, func(c *conn, deadline citronusher.Instant) (citronusher.MemberStatus, error) {
 				return citronusher.MemberStatus{}, c.link.Resume(deadline)
 			})
-			return nil
 		})
 	}
-	_ = tasks.Wait() // the functions return no errors
+	tasks.Wait()
 }
 
 // order promotes the member that received most and waits until it leads.
