targets: a promotion that cannot stop every replica lets the others receive again

Cause, found in reading: the first replica that refused ended the list of answers, so that others stayed stopped until somebody else claimed the group; and a replica that went down or became known between two steps was not missed, although it could renew rights. Change: all answers are taken before the promotion is given up, and every member besides the primary has to be among those that stopped.

--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -266,6 +266,10 @@
 		s.member(fields[1]).Hold(uint64(s.number(fields[2]))) //nolint:gosec // small
 	case "lose-answer":
 		s.member(fields[1]).LoseAnswer()
+	case "insist":
+		s.member(fields[1]).Insist(true)
+	case "relent":
+		s.member(fields[1]).Insist(false)
 	case "break":
 		s.member(fields[1]).Break()
 	case "busy":
@@ -308,6 +312,9 @@
 	case "await-copies": // until every replica holds the primary's log, and homes ask replicas again that lacked it
 		s.until("copies", s.group.Copied)
 		time.Sleep(copyPause)
+	case "await-released": // until a promotion was tried and the member receives again
+		m := s.member(fields[1])
+		s.until("released", func() bool { return s.group.Pauses() > 0 && m.Held() == 0 })
 	case "await-ready":
 		s.until("ready", s.daemons[s.number(fields[1])-1].Ready)
 	case "await-write": // until a session's writes succeed again
--- a/standin/users/member.go
+++ b/standin/users/member.go
@@ -37,6 +37,7 @@
 	breakNext                         bool // the next read, write or commit breaks its connection and does not run
 	busyNext                          int  // so many statements are refused
 	pauses                            int
+	stubborn                          bool // orders to stop receiving are refused
 }
 
 func newMember(g *Group, id string) (*Member, error) {
@@ -109,6 +110,9 @@
 // Break makes the connection of the next read, write or commit break before it runs.
 func (m *Member) Break() { m.with(func() { m.breakNext = true }) }
 
+// Insist makes the member refuse orders to stop receiving, or take them again.
+func (m *Member) Insist(stubborn bool) { m.with(func() { m.stubborn = stubborn }) }
+
 // Refuse makes the member refuse the next statements as busy.
 func (m *Member) Refuse(count int) { m.with(func() { m.busyNext = count }) }
 
@@ -404,6 +408,9 @@
 	case "STATUS":
 	case "PAUSE":
 		m.pauses++
+		if m.stubborn {
+			return s.failed("BUSY")
+		}
 		if m.role == roleReplica && term > m.term {
 			m.held = max(m.held, term)
 		}
--- a/targets/move.go
+++ b/targets/move.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -238,17 +239,35 @@
 	reports := g.askAll(func(c *conn, deadline citronusher.Instant) (citronusher.MemberStatus, error) {
 		return c.link.Hold(deadline, term)
 	})
+	why := ""
 	for _, r := range reports {
 		old := r.id == m.primary
 		switch {
 		case r.err != nil && !old:
-			return "member " + r.id + " did not stop receiving: " + r.err.Error()
+			why = "member " + r.id + " did not stop receiving: " + r.err.Error()
 		case r.err == nil && r.status.Role == citronusher.RolePrimary && !old:
-			return "member " + r.id + " leads"
+			why = "member " + r.id + " leads"
 		case r.err == nil && r.status.Role == citronusher.RoleReplica:
 			m.held = append(m.held, r)
 		}
 	}
+	if why == "" {
+		why = m.left()
+	}
+	return why
+}
+
+// left names a member, besides the primary, that was not told to stop receiving: it was down, or became known,
+// meanwhile.
+func (m *move) left() string {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	for id, other := range m.group.members {
+		held := slices.ContainsFunc(m.held, func(r report) bool { return r.id == id })
+		if id != m.primary && !other.replaced && !held {
+			return "member " + id + " was not told to stop receiving"
+		}
+	}
 	return ""
 }
 
