--- a/right/right.go
+++ b/right/right.go
@@ -47,9 +47,6 @@
 // Term returns the term that the right is for; 0 when there is none.
 func (r *Right) Term() uint64 { return r.term }
 
-// Deadline returns when the right expires.
-func (r *Right) Deadline() citronusher.Instant { return r.deadline }
-
 // Valid reports whether the primary may be used at now.
 func (r *Right) Valid(now citronusher.Instant) bool { return !r.closed && now < r.deadline }
 
--- a/right/window.go
+++ b/right/window.go
@@ -61,11 +61,3 @@
 	}
 	return citronusher.Position{}, false
 }
-
-// Latest returns the last position; false when there is none.
-func (w *Window) Latest() (citronusher.Position, bool) {
-	if len(w.sightings) == 0 {
-		return citronusher.Position{}, false
-	}
-	return w.sightings[len(w.sightings)-1].position, true
-}
--- a/standin/users/caller.go
+++ b/standin/users/caller.go
@@ -95,8 +95,5 @@
 	return nil
 }
 
-// Rest returns the next line; an error when the session has ended.
-func (c *Caller) Rest() (string, error) { return c.line() }
-
 // Close ends the session without a word.
 func (c *Caller) Close() { c.conn.Close() }
--- a/standin/users/group.go
+++ b/standin/users/group.go
@@ -50,17 +50,6 @@
 	return p
 }
 
-// NewAt is New with the store on a given IP:PORT.
-func NewAt(address string, options Options) (*Platform, error) {
-	store, err := NewStoreAt(address)
-	if err != nil {
-		return nil, err
-	}
-	p := &Platform{Store: store, options: options, done: make(chan struct{}), groups: map[string]*Group{}}
-	p.start()
-	return p, nil
-}
-
 func (p *Platform) start() {
 	p.routes = map[string]map[string]any{}
 	p.promote = p.promoteMember
--- a/standin/users/store.go
+++ b/standin/users/store.go
@@ -6,8 +6,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -67,22 +65,6 @@
 	return s
 }
 
-// NewStoreAt is NewStore on a given IP:PORT.
-func NewStoreAt(address string) (*Store, error) {
-	s := NewStore()
-	handler := s.server.Config.Handler
-	s.server.Close()
-	listener, err := net.Listen("tcp", address) //nolint:noctx // a test program
-	if err != nil {
-		return nil, fmt.Errorf("stand-in store: %w", err)
-	}
-	s.server = httptest.NewUnstartedServer(handler)
-	s.server.Listener.Close()
-	s.server.Listener = listener
-	s.server.Start()
-	return s, nil
-}
-
 // Address returns the IP:PORT of the store and of the promotion call.
 func (s *Store) Address() string { return s.server.Listener.Addr().String() }
 
@@ -151,15 +133,6 @@
 	s.wake()
 }
 
-// Delete drops a row.
-func (s *Store) Delete(table, key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version++
-	s.set(row{Table: table, Key: key, Version: s.version, Gone: true})
-	s.wake()
-}
-
 func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/targets/look.go
+++ b/targets/look.go
@@ -72,9 +72,7 @@
 }
 
 // ask puts one question to a member, on an idle connection or a new one.
-func (g *Group) ask(
-	m *member, limit time.Duration, ask question,
-) report {
+func (g *Group) ask(m *member, limit time.Duration, ask question) report {
 	g.mu.Lock()
 	c := m.takeIdle()
 	r := report{member: m, id: m.report.ID, leaving: m.report.Leaving}
--- a/targets/renew.go
+++ b/targets/renew.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	shareAfter = 450 * time.Millisecond // the same for the daemon that renews for the others
+	shareAfter = 450 * time.Millisecond // after the question that renewed the right last, for the next renewal
 	sharePause = 450 * time.Millisecond // before another daemon is asked again
 	shareLimit = 150 * time.Millisecond // for another daemon's answer
-	renewAfter = 900 * time.Millisecond // after the question that renewed the right last
+	renewAfter = 900 * time.Millisecond // the age of a right at which a daemon that others do not help asks a replica
 	renewLimit = 200 * time.Millisecond // for one replica's answer
 	renewIdle  = 3 * time.Second        // without requests for the primary the right is not renewed
 )
