execute: statements run behind an interface, apart from their session

Cause: sessions used member connections directly, so that a statement could only run at the daemon that its caller reached. Ruled out: carrying single holds between daemons; each statement would need four round trips. Change: package execute holds what proxy did with connections; proxy keeps sessions. citronusher.Task and Completion are what crosses. Conclusion: statements can be carried to another daemon next.

--- /dev/null
+++ b/execute/execute.go
@@ -0,0 +1,251 @@
+// Package execute runs the statements of sessions at a home of their group: it takes a connection to the right member,
+// brings the connection's session state in line, tries again what did not run, and says truthfully what is known of
+// everything else.
+package execute
+
+import (
+	"log/slog"
+	"maps"
+	"time"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/events"
+	"citronusher.example/citronusher/meter"
+	"citronusher.example/citronusher/place"
+	"citronusher.example/citronusher/targets"
+)
+
+const (
+	runGrace      = 300 * time.Millisecond // beyond a statement's limit, for an answer that is on its way
+	rollbackLimit = 300 * time.Millisecond
+)
+
+// Config holds what executors need from their daemon.
+type Config struct {
+	// Targets gives connections to members.
+	Targets *targets.Set
+	// Timer gives the time.
+	Timer citronusher.Timer
+	// Logger receives the events.
+	Logger *slog.Logger
+	// Meter counts.
+	Meter *meter.Meter
+}
+
+// Executor runs the tasks of one session at this daemon. It implements citronusher.Executor.
+type Executor struct {
+	config Config
+	seen   citronusher.Position
+	trace  citronusher.Trace
+	hold   *targets.Hold // of the open transaction; nil without one
+	wrote  bool          // the open transaction has sent a write
+}
+
+// New returns an executor without a transaction.
+func New(config Config) *Executor { return &Executor{config: config} }
+
+// Execute runs a task.
+func (e *Executor) Execute(task citronusher.Task) (citronusher.Completion, error) {
+	e.seen = task.Seen
+	e.trace = citronusher.Trace{Group: task.Route.Group}
+	answer, err := e.run(task)
+	done := citronusher.Completion{Seen: e.seen, Trace: e.trace}
+	if err != nil {
+		return done, err
+	}
+	done.Answer = *answer
+	return done, nil
+}
+
+func (e *Executor) run(task citronusher.Task) (*citronusher.Answer, error) {
+	switch {
+	case task.Part == citronusher.PartNone:
+		return e.single(task)
+	case task.Statement.Kind == citronusher.StatementCommit:
+		return e.commit(task)
+	case task.Part == citronusher.PartFirst:
+		return e.first(task)
+	default:
+		return e.next(task)
+	}
+}
+
+// use records the connection that the statement got.
+func (e *Executor) use(hold *targets.Hold, after citronusher.Position) {
+	t := &e.trace
+	t.Tries++
+	t.Member, t.Term, t.After = hold.Member(), 0, after
+	if hold.Primary() {
+		t.Term, t.After = hold.Term(), citronusher.Position{}
+	}
+}
+
+// retried counts and logs that the statement is tried again.
+func (e *Executor) retried(task citronusher.Task, failure *citronusher.Failure) {
+	e.config.Meter.Retried(failure.Reason())
+	events.Log(e.config.Logger, events.RequestRetried, append(e.trace.Args(task.Statement.ID, task.Route.Name),
+		"reason", string(failure.Reason()), "error", failure.Message())...)
+}
+
+func (e *Executor) group(route citronusher.Route) (*targets.Group, error) {
+	g, ok := e.config.Targets.Group(route.Group)
+	if !ok {
+		return nil, citronusher.Refuse(citronusher.ReasonLeaving, "the group of database %s is not known here", route.Name)
+	}
+	return g, nil
+}
+
+// ticket returns the place of a task in its group's queue.
+func ticket(task citronusher.Task, need place.Need) *place.Ticket {
+	return place.NewTicket(need, task.Route.Priority, task.ArrivedAt.Add(task.Route.Goal), task.Deadline())
+}
+
+// single serves a statement outside a transaction. What did not run is tried again until the statement's deadline.
+func (e *Executor) single(task citronusher.Task) (*citronusher.Answer, error) {
+	g, err := e.group(task.Route)
+	if err != nil {
+		return nil, err
+	}
+	need := place.Need{Primary: true}
+	if !task.Writes {
+		need = g.Needs(task.Route, e.seen, task.ArrivedAt)
+	}
+	t := ticket(task, need)
+	for {
+		hold, err := g.Acquire(t)
+		if err != nil {
+			return nil, err
+		}
+		e.use(hold, need.After)
+		answer, err := e.runSingle(hold, task, need)
+		if err == nil {
+			return answer, nil
+		}
+		failure := citronusher.AsFailure(err)
+		again := failure.Outcome() == citronusher.NotRun || !task.Writes
+		if !again || e.config.Timer.Instant() >= t.Deadline() {
+			return nil, err
+		}
+		e.retried(task, failure)
+		t.Avoid(hold.Member())
+	}
+}
+
+// runSingle runs a statement outside a transaction on a connection and gives the connection back.
+func (e *Executor) runSingle(hold *targets.Hold, task citronusher.Task, need place.Need) (*citronusher.Answer, error) {
+	if err := hold.Begin(); err != nil {
+		hold.Release()
+		return nil, err
+	}
+	e.count(hold, task.Route)
+	commands := prelude(hold, task)
+	command := citronusher.Command{Statement: shared(task)}
+	if !hold.Primary() {
+		command.After = need.After
+	}
+	commands = append(commands, command)
+	answers, err := hold.Run(task.Deadline().Add(runGrace), commands...)
+	if err != nil || !allSucceeded(answers[:len(commands)-1]) {
+		hold.Discard()
+		return nil, broken(err, task.Writes)
+	}
+	answer := answers[len(answers)-1]
+	if answer.State != citronusher.StateIdle {
+		hold.Discard()
+		return nil, citronusher.Doubt(citronusher.ReasonBroken, "the member left a transaction open")
+	}
+	if answer.Refusal.NotRun() {
+		hold.Release()
+		return nil, refused(answer.Refusal)
+	}
+	if task.Writes && answer.Refusal == citronusher.RefusalNone {
+		if err := hold.Confirm(task.Deadline()); err != nil {
+			hold.Release()
+			return nil, err
+		}
+		e.seen = answer.Position
+	}
+	hold.Release()
+	return &answer, nil
+}
+
+// count counts which kind of member serves a read.
+func (e *Executor) count(hold *targets.Hold, route citronusher.Route) {
+	if route.Consistency != citronusher.ConsistencyPrimary {
+		e.config.Meter.Allowed().Inc(1)
+	}
+	if hold.Primary() {
+		e.config.Meter.Primary().Inc(1)
+	} else {
+		e.config.Meter.Replica().Inc(1)
+	}
+}
+
+func allSucceeded(answers []citronusher.Answer) bool {
+	for _, answer := range answers {
+		if answer.Refusal != citronusher.RefusalNone {
+			return false
+		}
+	}
+	return true
+}
+
+// broken describes a connection that broke while a statement ran. A read may run again; a write may have taken effect.
+func broken(err error, writes bool) error {
+	if writes {
+		return citronusher.Doubt(citronusher.ReasonBroken, "the connection to the member broke while the write ran: %v", err)
+	}
+	return citronusher.Refuse(citronusher.ReasonBroken, "the connection to the member broke while the read ran: %v", err)
+}
+
+// refused describes a member's refusal of a statement that did not run.
+func refused(refusal citronusher.Refusal) *citronusher.Failure {
+	switch refusal {
+	case citronusher.RefusalBehind:
+		return citronusher.Refuse(citronusher.ReasonBehind, "the replica lacks the position that the read needs")
+	case citronusher.RefusalReadOnly:
+		return citronusher.Refuse(citronusher.ReasonPrimary, "the member does not lead any more")
+	default:
+		return citronusher.Refuse(citronusher.ReasonFull, "the member is busy; try again later")
+	}
+}
+
+// shared returns the statement as it goes to a member: prepared statements have other names there.
+func shared(task citronusher.Task) citronusher.Statement {
+	statement := task.Statement
+	if statement.Kind == citronusher.StatementExecute {
+		statement.Name = task.Prepared.Name
+		statement.Text = ""
+	}
+	return statement
+}
+
+// prelude returns the commands that bring the connection's session state in line with the session's.
+func prelude(hold *targets.Hold, task citronusher.Task) []citronusher.Command {
+	var commands []citronusher.Command
+	add := func(statement citronusher.Statement) {
+		commands = append(commands, citronusher.Command{Statement: statement})
+	}
+	for name := range hold.Values() {
+		if _, ok := task.Values[name]; !ok {
+			add(citronusher.Statement{Kind: citronusher.StatementReset})
+			clear(hold.Values())
+			clear(hold.Prepared())
+			break
+		}
+	}
+	for name, value := range task.Values {
+		if held, ok := hold.Values()[name]; !ok || held != value {
+			add(citronusher.Statement{Kind: citronusher.StatementSet, Name: name, Value: value})
+		}
+	}
+	maps.Copy(hold.Values(), task.Values)
+	known := task.Prepared
+	if known.Name != "" && !hold.Prepared()[known.Name] {
+		add(citronusher.Statement{
+			Kind: citronusher.StatementPrepare, Name: known.Name, Value: known.Shape, Writes: known.Writes,
+		})
+		hold.Prepared()[known.Name] = true
+	}
+	return commands
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"citronusher.example/citronusher"
 	"citronusher.example/citronusher/events"
+	"citronusher.example/citronusher/execute"
 	"citronusher.example/citronusher/follow"
 	"citronusher.example/citronusher/meter"
 	"citronusher.example/citronusher/peer"
@@ -98,9 +99,11 @@
 	if err != nil {
 		return err
 	}
+	local := execute.Config{Targets: g.targets, Timer: clock, Logger: g.logger, Meter: g.meter}
 	g.proxy, err = proxy.New(proxy.Config{
 		Address: s.Entry(), Protocol: func(conn net.Conn) citronusher.Caller { return line.NewCaller(conn) },
-		Plan: g.plan, Targets: g.targets, Timer: clock, Logger: g.logger, Meter: g.meter,
+		Plan: g.plan, Executor: func() citronusher.Executor { return execute.New(local) }, Timer: clock, Logger: g.logger,
+		Meter: g.meter,
 	})
 	if err != nil {
 		return err
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -1,6 +1,6 @@
-// Package proxy serves callers' sessions over typed statements, in whichever protocol the callers speak: it finds
-// the route of each statement, takes a connection to the right member for it, retries what did not run, and says
-// truthfully what is known of everything else.
+// Package proxy serves callers' sessions over typed statements, in whichever protocol the callers speak: it keeps the
+// session's values, prepared statements and transaction, finds the route of each statement, has it run by an executor,
+// and tells the caller how it ended.
 package proxy
 
 import (
@@ -16,7 +16,6 @@
 
 	"citronusher.example/citronusher"
 	"citronusher.example/citronusher/meter"
-	"citronusher.example/citronusher/targets"
 )
 
 const (
@@ -32,8 +31,8 @@
 	Protocol func(net.Conn) citronusher.Caller
 	// Plan returns the plan in force.
 	Plan func() citronusher.Plan
-	// Targets gives connections to members.
-	Targets *targets.Set
+	// Executor returns what runs the statements of one session.
+	Executor func() citronusher.Executor
 	// Timer gives the time.
 	Timer citronusher.Timer
 	// Logger receives the events.
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -7,25 +7,18 @@
 
 	"citronusher.example/citronusher"
 	"citronusher.example/citronusher/events"
-	"citronusher.example/citronusher/targets"
 )
 
-// prepared is a statement that the session has prepared.
-type prepared struct {
-	shared string // its name on member connections, the same for all sessions
-	shape  string
-	writes bool
-}
-
 // session is one caller's session.
 type session struct {
 	proxy    *Proxy
 	caller   citronusher.Caller
 	database string
 	values   map[string]string
-	prepared map[string]prepared
+	prepared map[string]citronusher.Definition
+	executor citronusher.Executor
 	seen     citronusher.Position // of the session's last write
-	trace    trace                // of the statement that is being served
+	trace    citronusher.Trace    // of the statement that is being served
 
 	// mu guards the open transaction, which a timer may roll back between two statements.
 	mu    sync.Mutex
@@ -35,43 +28,30 @@
 	busy  bool // a statement is being served
 }
 
-// trace is what a log line tells of a statement.
-type trace struct {
-	id, group, member string
-	term              uint64 // of the primary that was used; 0 for a replica
-	after             citronusher.Position
-	tries             int
-}
-
-// use records the connection that the statement got.
-func (t *trace) use(hold *targets.Hold, after citronusher.Position) {
-	t.tries++
-	t.member, t.term, t.after = hold.Member(), 0, after
-	if hold.Primary() {
-		t.term, t.after = hold.Term(), citronusher.Position{}
-	}
-}
-
-// args are the trace as fields of a log line.
-func (t *trace) args(database string) []any {
-	return []any{
-		"id", t.id, "database", database, "group", t.group, "member", t.member, "term", t.term, "after", t.after.String(),
-		"tries", t.tries,
-	}
-}
-
 // transaction is what the session's open transaction needs.
 type transaction struct {
 	route    citronusher.Route
 	readOnly bool
 	beganAt  citronusher.Instant
-	hold     *targets.Hold // nil before the first statement
-	wrote    bool
+	held     bool // a member has begun it
 	expired  bool
 }
 
+// part returns a statement's task as a part of the transaction.
+func (t *transaction) part(task citronusher.Task) citronusher.Task {
+	task.Route, task.ReadOnly, task.BeganAt = t.route, t.readOnly, t.beganAt
+	task.Part = citronusher.PartFirst
+	if t.held {
+		task.Part = citronusher.PartNext
+	}
+	return task
+}
+
 func newSession(p *Proxy, caller citronusher.Caller) *session {
-	return &session{proxy: p, caller: caller, values: map[string]string{}, prepared: map[string]prepared{}}
+	return &session{
+		proxy: p, caller: caller, values: map[string]string{}, prepared: map[string]citronusher.Definition{},
+		executor: p.config.Executor(),
+	}
 }
 
 // run serves the session until it ends.
@@ -157,44 +137,38 @@
 		s.timer = nil
 	}
 	s.proxy.config.Meter.Requests().Inc(1)
-	s.trace = trace{id: statement.ID}
+	s.trace = citronusher.Trace{}
 	answer, err := s.handle(statement, arrived)
-	s.measure(s.proxy.config.Timer.Instant().Sub(arrived), err)
+	s.measure(statement, s.proxy.config.Timer.Instant().Sub(arrived), err)
 	s.busy = false
-	if s.state != citronusher.StateIdle && s.tx.hold != nil {
+	if s.state != citronusher.StateIdle && s.tx.held {
 		s.timer = time.AfterFunc(s.proxy.config.Plan().Idle, s.expireIdle)
 	}
-	return s.reply(answer, err)
+	return s.reply(statement, answer, err)
 }
 
 // measure counts how long a statement took, and logs one that was served after its route's goal.
-func (s *session) measure(took time.Duration, err error) {
+func (s *session) measure(statement citronusher.Statement, took time.Duration, err error) {
 	meter := s.proxy.config.Meter
 	meter.Latency().Update(took.Microseconds())
 	route, ok := s.proxy.config.Plan().Routes[s.database]
-	if !ok || s.trace.tries == 0 {
+	if !ok || s.trace.Tries == 0 {
 		return
 	}
 	meter.ProfileLatency(route.Consistency).Update(took.Microseconds())
 	if err == nil && took > route.Goal {
-		events.Log(s.proxy.config.Logger, events.RequestLate, append(s.trace.args(s.database), "ms", took.Milliseconds())...)
+		events.Log(s.proxy.config.Logger, events.RequestLate, append(s.trace.Args(statement.ID, s.database),
+			"ms", took.Milliseconds())...)
 	}
 }
 
-// retried counts and logs that the statement is tried again.
-func (s *session) retried(failure *citronusher.Failure) {
-	s.proxy.config.Meter.Retried(failure.Reason())
-	events.Log(s.proxy.config.Logger, events.RequestRetried, append(s.trace.args(s.database),
-		"reason", string(failure.Reason()), "error", failure.Message())...)
-}
-
 // reply tells the caller how its statement ended.
-func (s *session) reply(answer *citronusher.Answer, err error) error {
+func (s *session) reply(statement citronusher.Statement, answer *citronusher.Answer, err error) error {
 	switch {
 	case err != nil:
 		failure := citronusher.AsFailure(err)
 		s.proxy.config.Meter.Failed(failure)
-		events.Log(s.proxy.config.Logger, events.RequestFailed, append(s.trace.args(s.database),
+		events.Log(s.proxy.config.Logger, events.RequestFailed, append(s.trace.Args(statement.ID, s.database),
 			"outcome", failure.Outcome().String(), "reason", string(failure.Reason()), "error", failure.Message())...)
 		return s.caller.Refuse(failure, s.state)
 	case answer != nil:
@@ -233,7 +207,7 @@
 
 // rollBackIdle gives the transaction's connection back. The caller holds mu.
 func (s *session) rollBackIdle() {
-	if s.busy || s.tx.hold == nil {
+	if s.busy || !s.tx.held {
 		return
 	}
 	s.giveBack()
@@ -254,22 +228,13 @@
 
 // giveBack rolls the open transaction back and releases its connection. The caller holds mu.
 func (s *session) giveBack() {
-	hold := s.tx.hold
-	s.tx.hold = nil
-	if hold == nil {
-		return
-	}
-	rollback := citronusher.Command{Statement: citronusher.Statement{Kind: citronusher.StatementRollback}}
-	answers, err := hold.Run(s.proxy.config.Timer.Instant().Add(rollbackLimit), rollback)
-	if err != nil || answers[0].State != citronusher.StateIdle {
-		hold.Discard()
-		return
+	if s.tx.held {
+		s.executor.Rollback()
 	}
-	hold.Release()
+	s.tx.held = false
 }
 
 const (
-	rollbackLimit = 300 * time.Millisecond
-	planLimit     = 1 * time.Second
-	planPoll      = 20 * time.Millisecond
+	planLimit = 1 * time.Second
+	planPoll  = 20 * time.Millisecond
 )
