--- a/errors.go
+++ b/errors.go
@@ -21,6 +21,8 @@
 	ErrFenced = errors.New("fenced by a newer term")
 	// ErrRefused reports that a machine answers, but nothing listens at the address.
 	ErrRefused = errors.New("connection refused")
+	// ErrUnreached reports that a call certainly did not reach the other daemon.
+	ErrUnreached = errors.New("daemon not reached")
 	// ErrReplaced reports that another member answers at an address.
 	ErrReplaced = errors.New("another member answers")
 	// ErrClosed reports use of a component after Close.
@@ -82,6 +84,7 @@
 	ReasonRepeat    Reason = "repeat"    // a non-repeatable request was already decided
 	ReasonGone      Reason = "gone"      // the caller's pinned target connection no longer exists
 	ReasonStatement Reason = "statement" // the session has not prepared the statement
+	ReasonHome      Reason = "home"      // the daemon does not serve the group
 )
 
 // Reasons lists every reason, in the order in which they are documented.
@@ -90,7 +93,7 @@
 		ReasonAuth, ReasonInput, ReasonDatabase, ReasonProfile, ReasonPrimary, ReasonClosed, ReasonLeaving,
 		ReasonConnect, ReasonPeer, ReasonLimit, ReasonQueue, ReasonFull, ReasonDeadline, ReasonBudget, ReasonBehind,
 		ReasonLost, ReasonBroken, ReasonConfirm, ReasonCancel, ReasonReplica, ReasonRepeat, ReasonGone,
-		ReasonStatement,
+		ReasonStatement, ReasonHome,
 	}
 }
 
--- a/events/events.go
+++ b/events/events.go
@@ -22,6 +22,7 @@
 	SettingsRefused    Event = 207
 	InstanceChanged    Event = 301
 	PeerFailed         Event = 302
+	PeerBack           Event = 303
 	HomeOpened         Event = 401
 	HomeClosed         Event = 402
 	ProbeFailed        Event = 403
@@ -76,6 +77,7 @@
 	SettingsRefused:    {slog.LevelError, "settings failed their checks; the old ones stay in force"},
 	InstanceChanged:    {slog.LevelInfo, "instances changed"},
 	PeerFailed:         {slog.LevelWarn, "peer does not answer; other homes are asked first"},
+	PeerBack:           {slog.LevelInfo, "peer answers again"},
 	HomeOpened:         {slog.LevelInfo, "home of a database opened"},
 	HomeClosed:         {slog.LevelInfo, "home of a database closed"},
 	ProbeFailed:        {slog.LevelWarn, "member stopped answering probes"},
--- a/execute/execute.go
+++ b/execute/execute.go
@@ -90,7 +90,7 @@
 func (e *Executor) group(route citronusher.Route) (*targets.Group, error) {
 	g, ok := e.config.Targets.Group(route.Group)
 	if !ok {
-		return nil, citronusher.Refuse(citronusher.ReasonLeaving, "the group of database %s is not known here", route.Name)
+		return nil, citronusher.Refuse(citronusher.ReasonHome, "the group of database %s is not known here", route.Name)
 	}
 	return g, nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"citronusher.example/citronusher/platform/line"
 	"citronusher.example/citronusher/platform/store"
 	"citronusher.example/citronusher/proxy"
+	"citronusher.example/citronusher/relay"
 	"citronusher.example/citronusher/settings"
 	"citronusher.example/citronusher/targets"
 )
@@ -48,6 +49,9 @@
 	targets  *targets.Set
 	proxy    *proxy.Proxy
 	peers    *peer.GroupServer
+	carrier  *peer.Carrier
+	relay    *relay.Relay
+	served   *relay.Server
 	health   *http.Server
 	healthAt string
 	dropped  func() int64 // log lines so far; nil when nobody counts them
@@ -95,14 +99,22 @@
 		return err
 	}
 	var err error
-	g.peers, err = peer.NewGroupServer(s.Peer(), g)
+	local := execute.Config{Targets: g.targets, Timer: clock, Logger: g.logger, Meter: g.meter}
+	open := func() citronusher.Executor { return execute.New(local) }
+	g.served = relay.NewServer(relay.ServerConfig{
+		Local: open, Idle: func() time.Duration { return g.plan().Idle }, Logger: g.logger,
+	})
+	g.peers, err = peer.NewGroupServer(s.Peer(), g, g.served, clock)
 	if err != nil {
 		return err
 	}
-	local := execute.Config{Targets: g.targets, Timer: clock, Logger: g.logger, Meter: g.meter}
+	g.carrier = peer.NewCarrier(clock)
+	g.relay = relay.New(relay.Config{
+		Self: s.Name(), Local: open, Homes: g.targets.Homes, Carrier: g.carrier, Timer: clock, Logger: g.logger, Meter: g.meter,
+	})
 	g.proxy, err = proxy.New(proxy.Config{
 		Address: s.Entry(), Protocol: func(conn net.Conn) citronusher.Caller { return line.NewCaller(conn) },
-		Plan: g.plan, Executor: func() citronusher.Executor { return execute.New(local) }, Timer: clock, Logger: g.logger,
+		Plan: g.plan, Executor: g.relay.Open, Timer: clock, Logger: g.logger,
 		Meter: g.meter,
 	})
 	if err != nil {
@@ -111,7 +123,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.follower = follow.New(follow.Config{
-		Self:  citronusher.NewInstance(s.Name(), g.peers.Address(), s.Domain(), citronusher.InstanceLive),
+		Self:  citronusher.NewInstance(s.Name(), g.peers.Address(), s.Domain(), citronusher.InstanceLive).WithCapacity(s.Cores()),
 		Store: g.store, Plan: g.targets.Apply, Members: g.targets.SetMembers,
 		Instances:  g.targets.SetDaemons,
 		Registered: g.targets.SetKnown, Peers: peer.GroupClient{}, Logger: g.logger, Meter: g.meter,
@@ -234,6 +246,7 @@
 func (g *Gateway) Drain(span time.Duration) {
 	events.Log(g.logger, events.Stopping)
 	g.leaving.Store(true)
+	g.served.Leave()
 	ctx, cancel := context.WithTimeout(g.ctx, span)
 	defer cancel()
 	sleep(ctx, min(leaveSpan, span/halves))
@@ -243,8 +256,11 @@
 	half, done := context.WithTimeout(ctx, max(0, span/halves-leaveSpan))
 	defer done()
 	g.proxy.Drain(half)
+	g.served.Drain(half)
 	g.proxy.ExpireTransactions()
+	g.served.Expire()
 	g.proxy.Drain(ctx)
+	g.served.Drain(ctx)
 	forget, stop := context.WithTimeout(g.ctx, forgetLimit)
 	defer stop()
 	if err := g.store.Forget(forget, g.settings.Name()); err != nil {
@@ -271,6 +287,9 @@
 	if f := g.following(); f != nil {
 		errs = append(errs, f.Close())
 	}
+	if g.relay != nil {
+		errs = append(errs, g.relay.Close(), g.carrier.Close())
+	}
 	errs = append(errs, g.targets.Close())
 	if g.peers != nil {
 		errs = append(errs, g.peers.Close())
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -41,6 +41,7 @@
 	memberTime   metrics.Histogram
 	connectTime  metrics.Histogram
 	confirmTime  metrics.Histogram
+	hopTime      metrics.Histogram
 	profiles     map[string]metrics.Histogram
 	latency      metrics.Histogram
 	queueWait    metrics.Histogram
@@ -77,6 +78,7 @@
 		memberTime:   metrics.NewRegisteredHistogram("stage.member", r, metrics.NewUniformSample(sampleSize)),
 		connectTime:  metrics.NewRegisteredHistogram("stage.connect", r, metrics.NewUniformSample(sampleSize)),
 		confirmTime:  metrics.NewRegisteredHistogram("stage.confirm", r, metrics.NewUniformSample(sampleSize)),
+		hopTime:      metrics.NewRegisteredHistogram("stage.hop", r, metrics.NewUniformSample(sampleSize)),
 		profiles:     map[string]metrics.Histogram{},
 		latency:      metrics.NewRegisteredHistogram("requests.latency", r, metrics.NewUniformSample(sampleSize)),
 		queueWait:    metrics.NewRegisteredHistogram("requests.wait", r, metrics.NewUniformSample(sampleSize)),
@@ -191,6 +193,9 @@
 // ConnectTime is the time to open a connection to a member, in microseconds.
 func (m *Meter) ConnectTime() metrics.Histogram { return m.connectTime }
 
+// HopTime is the time that another daemon took to serve a statement, in microseconds.
+func (m *Meter) HopTime() metrics.Histogram { return m.hopTime }
+
 // ConfirmTime is the time that a write waited for its confirmation, in microseconds.
 func (m *Meter) ConfirmTime() metrics.Histogram { return m.confirmTime }
 
--- a/peer/group.go
+++ b/peer/group.go
@@ -34,22 +34,32 @@
 // GroupServer answers the daemons before the same groups.
 type GroupServer struct {
 	handler  GroupHandler
+	tasks    citronusher.TaskHandler
+	timer    citronusher.Timer
 	listener net.Listener
 	http     *http.Server
-	tasks    errgroup.Group
+	serving  errgroup.Group
 }
 
-// NewGroupServer starts listening at the IP:PORT address.
-func NewGroupServer(address string, handler GroupHandler) (*GroupServer, error) {
+// NewGroupServer starts listening at the IP:PORT address. tasks runs the statements that other daemons send.
+func NewGroupServer(
+	address string, handler GroupHandler, tasks citronusher.TaskHandler, timer citronusher.Timer,
+) (*GroupServer, error) {
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
-	s := &GroupServer{handler: handler, listener: listener}
+	s := &GroupServer{handler: handler, tasks: tasks, timer: timer, listener: listener}
 	mux := http.NewServeMux()
 	mux.Handle(peerpb.NewGroupServiceHandler(s, connect.WithReadMaxBytes(maxBody)))
-	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerLimit}
-	s.tasks.Go(func() error {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s.http = &http.Server{
+		Handler: mux, ReadHeaderTimeout: headerLimit, Protocols: &protocols,
+		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+	}
+	s.serving.Go(func() error {
 		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
@@ -96,7 +106,7 @@
 }
 
 // Close stops the server and waits.
-func (s *GroupServer) Close() error { return errors.Join(s.http.Close(), s.tasks.Wait()) }
+func (s *GroupServer) Close() error { return errors.Join(s.http.Close(), s.serving.Wait()) }
 
 // GroupClient calls the daemons before the same groups.
 type GroupClient struct{}
--- a/peer/peerpb/group.connect.go
+++ b/peer/peerpb/group.connect.go
@@ -39,6 +39,12 @@
 	GroupServiceRenewProcedure = "/citronusher.peer.v1.GroupService/Renew"
 	// GroupServiceLearnProcedure is the fully-qualified name of the GroupService's Learn RPC.
 	GroupServiceLearnProcedure = "/citronusher.peer.v1.GroupService/Learn"
+	// GroupServiceExecuteProcedure is the fully-qualified name of the GroupService's Execute RPC.
+	GroupServiceExecuteProcedure = "/citronusher.peer.v1.GroupService/Execute"
+	// GroupServiceRollbackProcedure is the fully-qualified name of the GroupService's Rollback RPC.
+	GroupServiceRollbackProcedure = "/citronusher.peer.v1.GroupService/Rollback"
+	// GroupServicePingProcedure is the fully-qualified name of the GroupService's Ping RPC.
+	GroupServicePingProcedure = "/citronusher.peer.v1.GroupService/Ping"
 )
 
 // GroupServiceClient is a client for the citronusher.peer.v1.GroupService service.
@@ -49,6 +55,12 @@
 	Renew(context.Context, *connect.Request[RenewRequest]) (*connect.Response[RenewResponse], error)
 	// Learn returns the plan and the members that the receiver knows.
 	Learn(context.Context, *connect.Request[LearnRequest]) (*connect.Response[LearnResponse], error)
+	// Execute runs one statement of a session of the sender.
+	Execute(context.Context, *connect.Request[ExecuteRequest]) (*connect.Response[ExecuteResponse], error)
+	// Rollback rolls the open transaction of a session of the sender back.
+	Rollback(context.Context, *connect.Request[RollbackRequest]) (*connect.Response[RollbackResponse], error)
+	// Ping shows that the receiver answers.
+	Ping(context.Context, *connect.Request[PingRequest]) (*connect.Response[PingResponse], error)
 }
 
 // NewGroupServiceClient constructs a client for the citronusher.peer.v1.GroupService service. By
@@ -80,14 +92,35 @@
 			connect.WithSchema(groupServiceMethods.ByName("Learn")),
 			connect.WithClientOptions(opts...),
 		),
+		execute: connect.NewClient[ExecuteRequest, ExecuteResponse](
+			httpClient,
+			baseURL+GroupServiceExecuteProcedure,
+			connect.WithSchema(groupServiceMethods.ByName("Execute")),
+			connect.WithClientOptions(opts...),
+		),
+		rollback: connect.NewClient[RollbackRequest, RollbackResponse](
+			httpClient,
+			baseURL+GroupServiceRollbackProcedure,
+			connect.WithSchema(groupServiceMethods.ByName("Rollback")),
+			connect.WithClientOptions(opts...),
+		),
+		ping: connect.NewClient[PingRequest, PingResponse](
+			httpClient,
+			baseURL+GroupServicePingProcedure,
+			connect.WithSchema(groupServiceMethods.ByName("Ping")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // groupServiceClient implements GroupServiceClient.
 type groupServiceClient struct {
-	yield *connect.Client[YieldRequest, YieldResponse]
-	renew *connect.Client[RenewRequest, RenewResponse]
-	learn *connect.Client[LearnRequest, LearnResponse]
+	yield    *connect.Client[YieldRequest, YieldResponse]
+	renew    *connect.Client[RenewRequest, RenewResponse]
+	learn    *connect.Client[LearnRequest, LearnResponse]
+	execute  *connect.Client[ExecuteRequest, ExecuteResponse]
+	rollback *connect.Client[RollbackRequest, RollbackResponse]
+	ping     *connect.Client[PingRequest, PingResponse]
 }
 
 // Yield calls citronusher.peer.v1.GroupService.Yield.
@@ -105,6 +138,21 @@
 	return c.learn.CallUnary(ctx, req)
 }
 
+// Execute calls citronusher.peer.v1.GroupService.Execute.
+func (c *groupServiceClient) Execute(ctx context.Context, req *connect.Request[ExecuteRequest]) (*connect.Response[ExecuteResponse], error) {
+	return c.execute.CallUnary(ctx, req)
+}
+
+// Rollback calls citronusher.peer.v1.GroupService.Rollback.
+func (c *groupServiceClient) Rollback(ctx context.Context, req *connect.Request[RollbackRequest]) (*connect.Response[RollbackResponse], error) {
+	return c.rollback.CallUnary(ctx, req)
+}
+
+// Ping calls citronusher.peer.v1.GroupService.Ping.
+func (c *groupServiceClient) Ping(ctx context.Context, req *connect.Request[PingRequest]) (*connect.Response[PingResponse], error) {
+	return c.ping.CallUnary(ctx, req)
+}
+
 // GroupServiceHandler is an implementation of the citronusher.peer.v1.GroupService service.
 type GroupServiceHandler interface {
 	// Yield makes the receiver give up its right to use a group's primary.
@@ -113,6 +161,12 @@
 	Renew(context.Context, *connect.Request[RenewRequest]) (*connect.Response[RenewResponse], error)
 	// Learn returns the plan and the members that the receiver knows.
 	Learn(context.Context, *connect.Request[LearnRequest]) (*connect.Response[LearnResponse], error)
+	// Execute runs one statement of a session of the sender.
+	Execute(context.Context, *connect.Request[ExecuteRequest]) (*connect.Response[ExecuteResponse], error)
+	// Rollback rolls the open transaction of a session of the sender back.
+	Rollback(context.Context, *connect.Request[RollbackRequest]) (*connect.Response[RollbackResponse], error)
+	// Ping shows that the receiver answers.
+	Ping(context.Context, *connect.Request[PingRequest]) (*connect.Response[PingResponse], error)
 }
 
 // NewGroupServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -140,6 +194,24 @@
 		connect.WithSchema(groupServiceMethods.ByName("Learn")),
 		connect.WithHandlerOptions(opts...),
 	)
+	groupServiceExecuteHandler := connect.NewUnaryHandler(
+		GroupServiceExecuteProcedure,
+		svc.Execute,
+		connect.WithSchema(groupServiceMethods.ByName("Execute")),
+		connect.WithHandlerOptions(opts...),
+	)
+	groupServiceRollbackHandler := connect.NewUnaryHandler(
+		GroupServiceRollbackProcedure,
+		svc.Rollback,
+		connect.WithSchema(groupServiceMethods.ByName("Rollback")),
+		connect.WithHandlerOptions(opts...),
+	)
+	groupServicePingHandler := connect.NewUnaryHandler(
+		GroupServicePingProcedure,
+		svc.Ping,
+		connect.WithSchema(groupServiceMethods.ByName("Ping")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/citronusher.peer.v1.GroupService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case GroupServiceYieldProcedure:
@@ -148,6 +220,12 @@
 			groupServiceRenewHandler.ServeHTTP(w, r)
 		case GroupServiceLearnProcedure:
 			groupServiceLearnHandler.ServeHTTP(w, r)
+		case GroupServiceExecuteProcedure:
+			groupServiceExecuteHandler.ServeHTTP(w, r)
+		case GroupServiceRollbackProcedure:
+			groupServiceRollbackHandler.ServeHTTP(w, r)
+		case GroupServicePingProcedure:
+			groupServicePingHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -168,3 +246,15 @@
 func (UnimplementedGroupServiceHandler) Learn(context.Context, *connect.Request[LearnRequest]) (*connect.Response[LearnResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("citronusher.peer.v1.GroupService.Learn is not implemented"))
 }
+
+func (UnimplementedGroupServiceHandler) Execute(context.Context, *connect.Request[ExecuteRequest]) (*connect.Response[ExecuteResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("citronusher.peer.v1.GroupService.Execute is not implemented"))
+}
+
+func (UnimplementedGroupServiceHandler) Rollback(context.Context, *connect.Request[RollbackRequest]) (*connect.Response[RollbackResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("citronusher.peer.v1.GroupService.Rollback is not implemented"))
+}
+
+func (UnimplementedGroupServiceHandler) Ping(context.Context, *connect.Request[PingRequest]) (*connect.Response[PingResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("citronusher.peer.v1.GroupService.Ping is not implemented"))
+}
--- /dev/null
+++ b/peer/task.go
@@ -0,0 +1,194 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+	"golang.org/x/sys/unix"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/peer/peerpb"
+)
+
+const (
+	carryDial    = 250 * time.Millisecond // for a connection that carries tasks
+	carrySilence = 1 * time.Second        // for what was sent to be received; the connection is closed otherwise
+	carryIdle    = 10 * time.Second       // after which an unused connection is closed
+)
+
+// Carrier carries tasks to other daemons. It implements citronusher.TaskCarrier.
+type Carrier struct {
+	http  *http.Client
+	timer citronusher.Timer
+}
+
+// NewCarrier returns a carrier without connections.
+func NewCarrier(timer citronusher.Timer) *Carrier {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	dialer := &net.Dialer{Timeout: carryDial, Control: limitSilence}
+	transport := &http.Transport{
+		Protocols: &protocols, IdleConnTimeout: carryIdle,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, &dialError{cause: err}
+			}
+			return conn, nil
+		},
+	}
+	return &Carrier{http: &http.Client{Transport: transport}, timer: timer}
+}
+
+// limitSilence makes a connection fail when the other side does not acknowledge what was sent.
+func limitSilence(_, _ string, raw syscall.RawConn) error {
+	var set error
+	err := raw.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, //nolint:gosec // a descriptor is small
+			int(carrySilence.Milliseconds()))
+	})
+	return errors.Join(err, set)
+}
+
+// Close drops the idle connections.
+func (c *Carrier) Close() error {
+	c.http.CloseIdleConnections()
+	return nil
+}
+
+func (c *Carrier) client(home citronusher.Instance) peerpb.GroupServiceClient {
+	return peerpb.NewGroupServiceClient(c.http, "http://"+home.Peer(), connect.WithReadMaxBytes(maxBody))
+}
+
+// carryError says whether a call can have reached the daemon.
+func carryError(home citronusher.Instance, err error) error {
+	var dial *dialError
+	if errors.As(err, &dial) {
+		return fmt.Errorf("%w: daemon %s: %w", citronusher.ErrUnreached, home.Name(), err)
+	}
+	return fmt.Errorf("%w: daemon %s: %w", citronusher.ErrUnavailable, home.Name(), err)
+}
+
+// Execute has a daemon run a task.
+func (c *Carrier) Execute(
+	ctx context.Context, home citronusher.Instance, session citronusher.SessionKey, task citronusher.Task,
+) (citronusher.Completion, error) {
+	response, err := c.client(home).Execute(ctx, connect.NewRequest(toTask(session, task, c.timer.Instant())))
+	if err != nil {
+		return citronusher.Completion{}, carryError(home, err)
+	}
+	m := response.Msg
+	done := citronusher.Completion{
+		Answer: citronusher.Answer{
+			Payload: m.GetPayload(), Refusal: citronusher.Refusal(m.GetRefusal()),
+			State: citronusher.TransactionState(m.GetState()), Position: fromPosition(m.GetPosition()),
+		},
+		Seen: fromPosition(m.GetSeen()),
+		Trace: citronusher.Trace{
+			Home: home.Name(), Group: task.Route.Group, Member: m.GetMember(), Term: m.GetTerm(), After: fromPosition(m.GetAfter()),
+			Tries: int(m.GetTries()),
+		},
+	}
+	if m.GetFailure() != nil {
+		return done, fromFailure(m.GetFailure())
+	}
+	return done, nil
+}
+
+// Rollback has a daemon roll a session's open transaction back.
+func (c *Carrier) Rollback(ctx context.Context, home citronusher.Instance, session citronusher.SessionKey) error {
+	_, err := c.client(home).Rollback(ctx, connect.NewRequest(&peerpb.RollbackRequest{
+		Instance: session.Instance, Session: session.Number,
+	}))
+	if err != nil {
+		return carryError(home, err)
+	}
+	return nil
+}
+
+// Ping asks whether a daemon answers.
+func (c *Carrier) Ping(ctx context.Context, home citronusher.Instance) error {
+	if _, err := c.client(home).Ping(ctx, connect.NewRequest(&peerpb.PingRequest{})); err != nil {
+		return carryError(home, err)
+	}
+	return nil
+}
+
+// Execute runs a task of another daemon's session.
+func (s *GroupServer) Execute(
+	_ context.Context, request *connect.Request[peerpb.ExecuteRequest],
+) (*connect.Response[peerpb.ExecuteResponse], error) {
+	session, task := fromTask(request.Msg, s.timer.Instant())
+	done, err := s.tasks.Execute(session, task)
+	response := &peerpb.ExecuteResponse{
+		Payload: done.Answer.Payload, Refusal: uint32(done.Answer.Refusal), //nolint:gosec // a small number
+		State:    uint32(done.Answer.State), //nolint:gosec // a small number
+		Position: toPosition(done.Answer.Position), Seen: toPosition(done.Seen), Member: done.Trace.Member,
+		Term: done.Trace.Term, After: toPosition(done.Trace.After), Tries: uint32(done.Trace.Tries), //nolint:gosec // a small number
+	}
+	if err != nil {
+		response.Failure = toFailure(citronusher.AsFailure(err))
+	}
+	return connect.NewResponse(response), nil
+}
+
+// Rollback rolls the open transaction of another daemon's session back.
+func (s *GroupServer) Rollback(
+	_ context.Context, request *connect.Request[peerpb.RollbackRequest],
+) (*connect.Response[peerpb.RollbackResponse], error) {
+	s.tasks.Rollback(citronusher.SessionKey{Instance: request.Msg.GetInstance(), Number: request.Msg.GetSession()})
+	return connect.NewResponse(&peerpb.RollbackResponse{}), nil
+}
+
+// Ping shows that the daemon answers.
+func (s *GroupServer) Ping(
+	context.Context, *connect.Request[peerpb.PingRequest],
+) (*connect.Response[peerpb.PingResponse], error) {
+	return connect.NewResponse(&peerpb.PingResponse{}), nil
+}
+
+// toTask encodes a task. Instants cross as ages, because every daemon has its own clock.
+func toTask(session citronusher.SessionKey, t citronusher.Task, now citronusher.Instant) *peerpb.ExecuteRequest {
+	//nolint:gosec // kinds and parts are small numbers
+	return &peerpb.ExecuteRequest{
+		Instance: session.Instance, Session: session.Number,
+		Route: &peerpb.Route{
+			Name: t.Route.Name, Group: t.Route.Group, Consistency: uint32(t.Route.Consistency),
+			Age: t.Route.Age.Microseconds(), Limit: t.Route.Limit.Microseconds(), Goal: t.Route.Goal.Microseconds(),
+			Priority: int32(t.Route.Priority),
+		},
+		Statement: &peerpb.GroupStatement{
+			Id: t.Statement.ID, Kind: uint32(t.Statement.Kind), Name: t.Statement.Name, Value: t.Statement.Value,
+			Writes: t.Statement.Writes, Text: t.Statement.Text,
+		},
+		Writes: t.Writes, Part: uint32(t.Part), ReadOnly: t.ReadOnly, Values: t.Values,
+		Prepared: &peerpb.Definition{Name: t.Prepared.Name, Shape: t.Prepared.Shape, Writes: t.Prepared.Writes},
+		Seen:     toPosition(t.Seen), Arrived: now.Sub(t.ArrivedAt).Microseconds(), Began: now.Sub(t.BeganAt).Microseconds(),
+	}
+}
+
+func fromTask(m *peerpb.ExecuteRequest, now citronusher.Instant) (citronusher.SessionKey, citronusher.Task) {
+	route, statement, prepared := m.GetRoute(), m.GetStatement(), m.GetPrepared()
+	return citronusher.SessionKey{Instance: m.GetInstance(), Number: m.GetSession()}, citronusher.Task{
+		Route: citronusher.Route{
+			Name: route.GetName(), Group: route.GetGroup(), Consistency: citronusher.Consistency(route.GetConsistency()),
+			Age: micros(route.GetAge()), Limit: micros(route.GetLimit()), Goal: micros(route.GetGoal()),
+			Priority: int(route.GetPriority()),
+		},
+		Statement: citronusher.Statement{
+			ID: statement.GetId(), Kind: citronusher.StatementKind(statement.GetKind()), Name: statement.GetName(),
+			Value: statement.GetValue(), Writes: statement.GetWrites(), Text: statement.GetText(),
+		},
+		Writes: m.GetWrites(), Part: citronusher.Part(m.GetPart()), ReadOnly: m.GetReadOnly(), Values: m.GetValues(),
+		Prepared: citronusher.Definition{Name: prepared.GetName(), Shape: prepared.GetShape(), Writes: prepared.GetWrites()},
+		Seen:     fromPosition(m.GetSeen()), ArrivedAt: now.Add(-micros(m.GetArrived())), BeganAt: now.Add(-micros(m.GetBegan())),
+	}
+}
+
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/platform.go
+++ b/platform.go
@@ -58,13 +58,23 @@
 	peer   string
 	domain string
 	state  InstanceState
+	size   float64
 }
 
 // NewInstance returns an instance whose peer listener is at the IP:PORT peer, in failure domain domain.
 func NewInstance(name, peer, domain string, state InstanceState) Instance {
-	return Instance{name: name, peer: peer, domain: domain, state: state}
+	return Instance{name: name, peer: peer, domain: domain, state: state, size: 1}
 }
 
+// WithCapacity returns i with the number of cores that its machine gives the daemon.
+func (i Instance) WithCapacity(cores float64) Instance {
+	i.size = cores
+	return i
+}
+
+// Capacity returns the number of cores that the instance's machine gives the daemon; 1 when it is not known.
+func (i Instance) Capacity() float64 { return i.size }
+
 // Name returns the instance's unique name.
 func (i Instance) Name() string { return i.name }
 
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,257 @@
+// Package relay has the statements of sessions run at a home of their group: here when this daemon is one, and
+// otherwise at another daemon.
+//
+// It answers the load of many daemons before few connections: only the homes of a group hold connections to its members.
+// A home that does not answer costs the callers of other daemons one try at the next home, for what did not run.
+package relay
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/meter"
+)
+
+const (
+	runGrace      = 500 * time.Millisecond // beyond a statement's limit, for an answer that is on its way
+	rollbackLimit = 300 * time.Millisecond
+	silentAfter   = 250 * time.Millisecond // a home that answers nothing for so long is asked whether it lives
+	pingLimit     = 250 * time.Millisecond
+	pauseLeast    = 250 * time.Millisecond // before a home that did not answer is asked again
+	pauseMost     = 2 * time.Second
+	leavingSpan   = 8 * time.Second // for which a home that leaves is not used
+)
+
+// Config holds what relaying needs from its daemon.
+type Config struct {
+	// Self names the daemon.
+	Self string
+	// Local returns an executor of this daemon.
+	Local func() citronusher.Executor
+	// Homes returns daemons for a group, the best first, and how many of them are its homes.
+	Homes func(group string) ([]citronusher.Instance, int)
+	// Carrier carries tasks to other daemons.
+	Carrier citronusher.TaskCarrier
+	// Timer gives the time.
+	Timer citronusher.Timer
+	// Logger receives the events.
+	Logger *slog.Logger
+	// Meter counts.
+	Meter *meter.Meter
+}
+
+// Relay finds homes for the sessions of this daemon.
+type Relay struct {
+	config   Config
+	sessions atomic.Uint64
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tasks    errgroup.Group
+
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+// New returns a relay that knows nothing of other daemons yet.
+func New(config Config) *Relay {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &Relay{config: config, ctx: ctx, cancel: cancel, peers: map[string]*peer{}}
+	r.sessions.Store(uint64(config.Timer.Instant())) //nolint:gosec // an instant is not negative
+	return r
+}
+
+// Open returns the executor of one session.
+func (r *Relay) Open() citronusher.Executor {
+	return &executor{relay: r, local: r.config.Local()}
+}
+
+// Close waits for what runs in the background.
+func (r *Relay) Close() error {
+	r.cancel()
+	return r.tasks.Wait()
+}
+
+// order returns the daemons that are asked to run a task, in turn: the homes that answer, then this daemon itself.
+// A home that has been silent for long is replaced by the next daemon in the group's order.
+func (r *Relay) order(group string) []citronusher.Instance {
+	candidates, count := r.config.Homes(group)
+	now := r.config.Timer.Instant()
+	list := make([]citronusher.Instance, 0, count+1)
+	places := 0 // of homes that are up, or down only for a short time
+	self := false
+	for _, candidate := range candidates {
+		if places >= count {
+			break
+		}
+		if candidate.Name() == r.config.Self {
+			self = true
+			places++
+			list = append([]citronusher.Instance{candidate}, list...)
+			continue
+		}
+		up, short := r.peer(candidate).state(now)
+		if up {
+			list = append(list, candidate)
+		}
+		if up || short {
+			places++
+		}
+	}
+	if !self {
+		list = append(list, citronusher.NewInstance(r.config.Self, "", "", citronusher.InstanceLive))
+	}
+	return list
+}
+
+// executor runs the tasks of one session wherever their group has a home.
+type executor struct {
+	relay  *Relay
+	local  citronusher.Executor
+	number uint64               // of the latest transaction or statement outside one
+	at     citronusher.Instance // where the open transaction is
+	held   bool                 // a transaction is open
+	wrote  bool                 // the open transaction has sent a write
+}
+
+func (e *executor) key() citronusher.SessionKey {
+	return citronusher.SessionKey{Instance: e.relay.config.Self, Number: e.number}
+}
+
+// Execute runs a task. What did not run at one home is tried at the next one.
+func (e *executor) Execute(task citronusher.Task) (citronusher.Completion, error) {
+	if task.Part == citronusher.PartNext {
+		return e.next(task)
+	}
+	var done citronusher.Completion
+	var err error
+	tries := 0
+	for _, home := range e.relay.order(task.Route.Group) {
+		done, err = e.try(home, task)
+		tries += max(1, done.Trace.Tries)
+		if err == nil || !elsewhere(err) || e.relay.config.Timer.Instant() >= task.Deadline() {
+			break
+		}
+		e.relay.config.Meter.Retried(citronusher.AsFailure(err).Reason())
+	}
+	if err != nil || done.Trace.Home != "" {
+		done.Trace.Tries = tries
+	}
+	return done, err
+}
+
+// elsewhere reports whether a task that failed at one home may be run at another one.
+func elsewhere(err error) bool {
+	failure := citronusher.AsFailure(err)
+	if failure.Outcome() != citronusher.NotRun {
+		return false
+	}
+	switch failure.Reason() {
+	case citronusher.ReasonPeer, citronusher.ReasonHome, citronusher.ReasonLeaving, citronusher.ReasonPrimary, citronusher.ReasonClosed:
+		return true
+	default:
+		return false
+	}
+}
+
+// try runs a task outside a transaction, or the first one of a transaction, at a home.
+func (e *executor) try(home citronusher.Instance, task citronusher.Task) (citronusher.Completion, error) {
+	e.held, e.wrote = false, false
+	e.at, e.number = home, e.relay.sessions.Add(1)
+	if home.Name() == e.relay.config.Self {
+		done, err := e.local.Execute(task)
+		e.note(task, done, err)
+		return done, err
+	}
+	done, err := e.relay.carry(home, e.key(), task)
+	e.note(task, done, err)
+	if err == nil {
+		return done, nil
+	}
+	var failure *citronusher.Failure
+	if errors.As(err, &failure) {
+		return done, failure
+	}
+	done = citronusher.Completion{Seen: task.Seen, Trace: citronusher.Trace{Home: home.Name(), Group: task.Route.Group}}
+	if task.Part == citronusher.PartFirst {
+		e.abandon()
+	}
+	lost := task.Writes && task.Part == citronusher.PartNone && !errors.Is(err, citronusher.ErrUnreached)
+	if lost {
+		return done, citronusher.Doubt(citronusher.ReasonPeer, "the connection to the group's home broke while the write ran: %v", err)
+	}
+	return done, citronusher.Refuse(citronusher.ReasonPeer, "the group's home does not answer: %v", err)
+}
+
+// note records whether a transaction is open after a task.
+func (e *executor) note(task citronusher.Task, done citronusher.Completion, err error) {
+	e.held = err == nil && task.Part != citronusher.PartNone && done.Answer.State != citronusher.StateIdle
+	e.wrote = e.held && (e.wrote || task.Writes)
+}
+
+// next runs a later part of the open transaction where the transaction is.
+func (e *executor) next(task citronusher.Task) (citronusher.Completion, error) {
+	if e.at.Name() == e.relay.config.Self {
+		done, err := e.local.Execute(task)
+		e.note(task, done, err)
+		return done, err
+	}
+	wrote := e.wrote
+	done, err := e.relay.carry(e.at, e.key(), task)
+	e.note(task, done, err)
+	var failure *citronusher.Failure
+	if err == nil || errors.As(err, &failure) {
+		return done, err
+	}
+	done = citronusher.Completion{Seen: task.Seen, Trace: citronusher.Trace{Home: e.at.Name(), Group: task.Route.Group, Tries: 1}}
+	commits := task.Statement.Kind == citronusher.StatementCommit
+	switch {
+	case !commits, errors.Is(err, citronusher.ErrUnreached):
+		e.abandon()
+		return done, citronusher.Refuse(citronusher.ReasonGone,
+			"the connection to the group's home broke inside the transaction; nothing of it is kept")
+	case !wrote:
+		return done, citronusher.NewFailure(citronusher.Ran, citronusher.ReasonPeer,
+			"the connection to the group's home broke at the end of a transaction that wrote nothing")
+	default:
+		return done, citronusher.Doubt(citronusher.ReasonPeer, "the connection to the group's home broke during the commit: %v", err)
+	}
+}
+
+// Rollback rolls the open transaction back.
+func (e *executor) Rollback() {
+	if e.at.Name() == e.relay.config.Self {
+		e.local.Rollback()
+		return
+	}
+	if !e.held {
+		return
+	}
+	e.held = false
+	e.relay.rollback(e.at, e.key())
+}
+
+// abandon rolls a transaction back that another daemon may hold after a call to it failed.
+func (e *executor) abandon() {
+	home, key := e.at, e.key()
+	e.relay.tasks.Go(func() error {
+		e.relay.rollback(home, key)
+		return nil
+	})
+}
+
+// rollback asks a daemon to roll a transaction back. One that does not hear of it does so when the transaction has been
+// idle for too long.
+func (r *Relay) rollback(home citronusher.Instance, key citronusher.SessionKey) {
+	ctx, cancel := context.WithTimeout(r.ctx, rollbackLimit)
+	defer cancel()
+	if err := r.config.Carrier.Rollback(ctx, home, key); err != nil {
+		r.peer(home).fail(err)
+	}
+}
--- a/route/homes.go
+++ b/route/homes.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,12 +14,33 @@
 	"citronusher.example/citronusher"
 )
 
-// Homes returns the count homes of database in order, by rendezvous hashing over the instances. Homes lie in different
-// failure domains as far as there are enough of them.
+// MostHomes is the largest number of homes of a group.
+const MostHomes = 12
+
+const (
+	smallFleet   = MostHomes // daemons; among so few of them each one is a home as far as the connections allow
+	leastHomes   = 3
+	leastShare   = 2 // connections to each member that a home of a small fleet has
+	usefulShare  = 5 // connections to each member that a home of a large fleet has
+	hashFraction = 1.0 / (1 << 53)
+	hashShift    = 64 - 53
+)
+
+// Count returns how many homes a group has whose members take connections each, before instances in domains failure
+// domains. In a large fleet there is one in each domain as far as the connections allow.
+func Count(connections, instances, domains int) int {
+	if instances <= smallFleet {
+		return max(1, min(instances, connections/leastShare))
+	}
+	return min(MostHomes, instances, max(leastHomes, min(domains, connections/usefulShare)))
+}
+
+// Homes returns the count homes of database in order, by rendezvous hashing over the instances, weighted by their
+// capacity. Homes lie in different failure domains as far as there are enough of them.
 func Homes(database string, instances []citronusher.Instance, count int) []citronusher.Instance {
-	scores := make([]uint64, len(instances))
+	scores := make([]float64, len(instances))
 	for i, instance := range instances {
-		scores[i] = score(database, instance.Name())
+		scores[i] = weighted(score(database, instance.Name()), instance.Capacity())
 	}
 	homes := make([]citronusher.Instance, 0, count)
 	taken := map[int]bool{}
@@ -36,7 +58,7 @@
 }
 
 // highest returns the index of the highest score that allowed accepts, or -1. The first of equal scores counts.
-func highest(scores []uint64, allowed func(i int) bool) int {
+func highest(scores []float64, allowed func(i int) bool) int {
 	best := -1
 	for i, s := range scores {
 		if (best < 0 || s > scores[best]) && allowed(i) {
@@ -46,6 +68,12 @@
 	return best
 }
 
+// weighted turns a hash into a score that is the highest of several with a chance in proportion to its weight.
+func weighted(hash uint64, weight float64) float64 {
+	fraction := (float64(hash>>hashShift) + 0.5) * hashFraction //nolint:mnd // the middle of its step: never 0 or 1
+	return -weight / math.Log(fraction)
+}
+
 func score(key, name string) uint64 {
 	var hash xxhash.Digest
 	hash.Reset()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -23,6 +23,7 @@
 	Protocol string            `json:"protocol"`
 	Name     string            `json:"name"`
 	Domain   string            `json:"domain"`
+	Cores    float64           `json:"cores"`
 	Entry    listener          `json:"entry"`
 	Peer     listener          `json:"peer"`
 	Health   string            `json:"health"`
@@ -80,6 +81,8 @@
 	defaultEntry = "127.0.0.1:5432"
 	minSpan      = 100 * time.Millisecond
 	maxSpan      = 1 * time.Hour
+	minCores     = 0.01
+	maxCores     = 1024.0
 )
 
 // The protocols that a daemon speaks with callers and targets.
@@ -99,7 +102,7 @@
 func defaults() fields {
 	return fields{
 		Entry: listener{Address: defaultEntry}, Peer: listener{Address: defaultPeer}, Health: "127.0.0.1:7072",
-		Log: "info", Drain: "30s", Idle: "60s", Limit: "gradient", Protocol: ProtocolPostgres,
+		Log: "info", Cores: 1, Drain: "30s", Idle: "60s", Limit: "gradient", Protocol: ProtocolPostgres,
 		Platform: platform{Region: "local", Access: "local", Secret: "local"},
 		Policy:   policy{Replicas: true, Queue: true, Homes: true},
 	}
@@ -165,6 +168,9 @@
 			return invalid(field, span, fmt.Sprintf("%s to %s", minSpan, maxSpan))
 		}
 	}
+	if f.Cores < minCores || f.Cores > maxCores {
+		return invalid("cores", fmt.Sprint(f.Cores), fmt.Sprintf("%g to %g", minCores, maxCores))
+	}
 	if f.Protocol == ProtocolLine {
 		return f.checkLine()
 	}
@@ -212,6 +218,9 @@
 // Domain returns the instance's failure domain.
 func (s Settings) Domain() string { return s.fields.Domain }
 
+// Cores returns how many cores the machine gives the daemon.
+func (s Settings) Cores() float64 { return s.fields.Cores }
+
 // Entry returns the IP:PORT for callers.
 func (s Settings) Entry() string { return s.fields.Entry.Address }
 
--- a/settings/template_test.go
+++ b/settings/template_test.go
@@ -17,6 +17,7 @@
 	}
 	values := map[string]string{
 		"NodeName": "front-oita-1", "Zone": "oita", "Ip": "10.3.0.5", "PortRange.0": "7440", "Bounds.GraceS": "6",
+		"Limits.CpuQuota":    "0.4",
 		"BindAddrs.Frontend": "10.3.0.5:8784", "BindAddrs.Readiness": "10.3.0.5:8785", "platform.Address": "10.200.1.7:8783",
 		"Cloud.Address": "10.200.0.160:8783",
 	}
@@ -32,7 +33,8 @@
 		t.Fatal(err)
 	}
 	if s.Protocol() != settings.ProtocolLine || s.Entry() != "10.3.0.5:8784" || s.Peer() != "10.3.0.5:7440" ||
-		s.Store() != "10.200.1.7:8783" || s.Promotion() != "10.200.0.160:8783" || s.Drain().Seconds() != 6 {
+		s.Store() != "10.200.1.7:8783" || s.Promotion() != "10.200.0.160:8783" || s.Drain().Seconds() != 6 ||
+		s.Cores() != 0.4 {
 		t.Errorf("%+v", s)
 	}
 }
--- a/targets/group.go
+++ b/targets/group.go
@@ -39,6 +39,8 @@
 	moving    bool                // this daemon carries out a promotion
 	deferred  citronusher.Instant // no promotion is begun before
 	highest   uint64              // the highest term that any member told
+	home      bool                // this daemon is one of the group's homes
+	wantedAt  citronusher.Instant // when a request last came
 }
 
 // grant answers a waiting request.
@@ -51,23 +53,31 @@
 func newGroup(s *Set, name string) *Group {
 	return &Group{
 		set: s, name: name, done: make(chan struct{}), members: map[string]*member{}, waits: map[*place.Ticket]chan grant{},
-		changed: make(chan struct{}), kicked: make(chan struct{}, 1),
+		changed: make(chan struct{}), kicked: make(chan struct{}, 1), wantedAt: s.config.Timer.Instant(),
 	}
 }
 
+// share says how the connections of a group's members are divided.
+type share struct {
+	connections int  // that each member takes from all daemons together
+	homes       int  // that divide them
+	home        bool // this daemon is one of them
+}
+
 func (g *Group) now() citronusher.Instant { return g.set.config.Timer.Instant() }
 
-// configure takes the members' reports and divides their connections among the daemons. A member that lists lack is
+// configure takes the members' reports and divides their connections among the homes. A member that lists lack is
 // kept for a while: reports expire while the platform's store is down.
-func (g *Group) configure(connections, daemons int, reports []citronusher.MemberReport) {
+func (g *Group) configure(s share, reports []citronusher.MemberReport) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.home = s.home
 	now := g.now()
 	seen := map[string]bool{}
 	for _, report := range reports {
 		seen[report.ID] = true
 		g.takeReport(report, now)
-		g.members[report.ID].setShare(connections, daemons)
+		g.members[report.ID].setShare(s.connections, s.homes)
 	}
 	for id, m := range g.members {
 		if seen[id] {
@@ -220,7 +230,7 @@
 	g.closed = true
 	close(g.done)
 	for t := range g.waits {
-		g.answer(t, grant{err: citronusher.Refuse(citronusher.ReasonLeaving, "the group is no longer served here")})
+		g.answer(t, grant{err: citronusher.Refuse(citronusher.ReasonHome, "the group is no longer served here")})
 	}
 	for _, m := range g.members {
 		closeAll(m.takeAll())
--- a/targets/hold.go
+++ b/targets/hold.go
@@ -37,6 +37,7 @@
 	began := g.now()
 	ready := make(chan grant, 1)
 	g.mu.Lock()
+	g.wantedAt = began
 	if err := g.refusal(t, began); err != nil {
 		g.mu.Unlock()
 		return grant{err: err}
@@ -74,7 +75,7 @@
 func (g *Group) refusal(t *place.Ticket, now citronusher.Instant) error {
 	switch {
 	case g.closed:
-		return citronusher.Refuse(citronusher.ReasonLeaving, "the group is no longer served here")
+		return citronusher.Refuse(citronusher.ReasonHome, "the group is no longer served here")
 	case t.Deadline() <= now, g.hopeless(t, now):
 		return g.refuse(t, now)
 	default:
--- a/targets/member.go
+++ b/targets/member.go
@@ -55,11 +55,12 @@
 	return &member{report: report, open: map[*conn]struct{}{}}
 }
 
-// setShare divides the member's connections among the daemons. A part stays free: the connections of daemons that
+// setShare divides the member's connections among the homes. A part stays free: the connections of daemons that
 // lost power linger, and their successors need some at once.
-func (m *member) setShare(connections, daemons int) {
-	m.limit = max(shareLeast, (connections-connections/shareDivisor)/daemons)
-	m.limit = min(m.limit, max(1, connections/daemons))
+func (m *member) setShare(connections, homes int) {
+	homes = max(1, homes)
+	m.limit = max(shareLeast, (connections-connections/shareDivisor)/homes)
+	m.limit = min(m.limit, max(1, connections/homes))
 }
 
 // oldestSent returns when the oldest statement that still runs was sent; 0 when none runs.
--- a/targets/member_test.go
+++ b/targets/member_test.go
@@ -37,7 +37,7 @@
 	for _, id := range []string{"a", "b", "c"} {
 		reports = append(reports, citronusher.MemberReport{ID: id, Group: "g", Role: citronusher.RoleReplica, Slots: 2})
 	}
-	g.configure(16, 6, reports)
+	g.configure(share{connections: 16, homes: 6, home: true}, reports)
 	g.primary = "a"
 	return g, timer
 }
--- a/targets/set.go
+++ b/targets/set.go
@@ -10,14 +10,12 @@
 	"context"
 	"log/slog"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"citronusher.example/citronusher"
 	"citronusher.example/citronusher/meter"
-	"citronusher.example/citronusher/route"
 )
 
 // Config holds what the targets need from their daemon.
@@ -42,9 +40,6 @@
 	Meter *meter.Meter
 }
 
-// daemonsUnknown is how many daemons share the connections while their number is not known.
-const daemonsUnknown = 8
-
 // Set is every group that the daemon serves.
 type Set struct {
 	config Config
@@ -56,16 +51,15 @@
 	groups  map[string]*Group
 	plan    citronusher.Plan
 	reports []citronusher.MemberReport
-	daemons int
+	known   bool // the other daemons can find this one, and ask it to give rights up
 
-	list  atomic.Pointer[[]citronusher.Instance] // the daemons; read while a group's mutex is held
-	known bool                                   // the other daemons can find this one, and ask it to give rights up
+	homes homes // has its own mutex; read while a group's mutex is held
 }
 
 // New returns a set without groups.
 func New(config Config) *Set {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Set{config: config, ctx: ctx, cancel: cancel, groups: map[string]*Group{}, daemons: daemonsUnknown}
+	return &Set{config: config, ctx: ctx, cancel: cancel, groups: map[string]*Group{}}
 }
 
 // Apply puts a plan in force.
@@ -88,18 +82,13 @@
 func (s *Set) SetDaemons(list []citronusher.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.daemons = max(1, len(list))
-	s.list.Store(&list)
+	s.homes.set(list)
 	s.update()
 }
 
 // prober returns the daemon that renews the right to a group for the others, and whether that is another one than this.
 func (s *Set) prober(group string) (citronusher.Instance, bool) {
-	list := s.list.Load()
-	if list == nil {
-		return citronusher.Instance{}, false
-	}
-	first := route.Homes(group, *list, 1)
+	first := s.homes.candidates(group)
 	if len(first) == 0 || first[0].Name() == s.config.Self {
 		return citronusher.Instance{}, false
 	}
@@ -108,8 +97,8 @@
 
 // Renewed tells another daemon how long ago a replica was asked that renewed the right to a group's primary of a term.
 func (s *Set) Renewed(group string, term uint64) (time.Duration, bool) {
-	g, ok := s.Group(group)
-	if !ok {
+	g := s.find(group)
+	if g == nil {
 		return 0, false
 	}
 	return g.renewed(term)
@@ -130,7 +119,7 @@
 
 // Yield gives up the right to the primary of a group up to a term.
 func (s *Set) Yield(group string, term uint64) {
-	if g, ok := s.Group(group); ok {
+	if g := s.find(group); g != nil {
 		g.yield(term)
 	}
 }
@@ -142,13 +131,10 @@
 		byGroup[report.Group] = append(byGroup[report.Group], report)
 	}
 	for name, plan := range s.plan.Groups {
-		g := s.groups[name]
-		if g == nil {
-			g = newGroup(s, name)
-			s.groups[name] = g
-			s.tasks.Go(func() error { g.watch(); return nil })
+		count, mine := s.homes.count(name, plan.Connections, s.config.Self)
+		if s.groups[name] != nil || mine {
+			s.open(name).configure(share{connections: plan.Connections, homes: count, home: mine}, byGroup[name])
 		}
-		g.configure(plan.Connections, s.daemons, byGroup[name])
 	}
 	for name, g := range s.groups {
 		if _, ok := s.plan.Groups[name]; !ok {
@@ -158,12 +144,66 @@
 	}
 }
 
-// Group returns the group called name.
+// open returns the group called name, which is served from now on. The caller holds mu.
+func (s *Set) open(name string) *Group {
+	g := s.groups[name]
+	if g == nil {
+		g = newGroup(s, name)
+		s.groups[name] = g
+		s.tasks.Go(func() error { g.watch(); return nil })
+	}
+	return g
+}
+
+// drop stops serving a group that this daemon is no home of and that nobody has used for a while.
+func (s *Set) drop(g *Group) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.groups[g.name] == g {
+		delete(s.groups, g.name)
+	}
+	g.close()
+}
+
+// find returns the group called name if it is served here, and nil otherwise.
+func (s *Set) find(name string) *Group {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.groups[name]
+}
+
+// Group returns the group called name, if the plan has it. One that this daemon is no home of is served for as long as
+// it is used: another daemon's view of the homes may differ.
 func (s *Set) Group(name string) (*Group, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	g, ok := s.groups[name]
-	return g, ok
+	if g := s.groups[name]; g != nil {
+		return g, true
+	}
+	plan, ok := s.plan.Groups[name]
+	if !ok || s.ctx.Err() != nil {
+		return nil, false
+	}
+	var reports []citronusher.MemberReport
+	for _, report := range s.reports {
+		if report.Group == name {
+			reports = append(reports, report)
+		}
+	}
+	count, mine := s.homes.count(name, plan.Connections, s.config.Self)
+	g := s.open(name)
+	g.configure(share{connections: plan.Connections, homes: count, home: mine}, reports)
+	return g, true
+}
+
+// Homes returns daemons for a group, the best first, and how many of them are its homes. There is none while the
+// daemons are not known.
+func (s *Set) Homes(group string) ([]citronusher.Instance, int) {
+	s.mu.Lock()
+	connections := s.plan.Groups[group].Connections
+	s.mu.Unlock()
+	count, _ := s.homes.count(group, connections, s.config.Self)
+	return s.homes.candidates(group), count
 }
 
 // Close closes every connection and waits for what runs in the background.
@@ -177,16 +217,19 @@
 	return s.tasks.Wait()
 }
 
-// Ready reports whether the primary of every group is known.
+// Ready reports whether the daemons are known, and the primary of every group that this one is a home of.
 func (s *Set) Ready() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.homes.known() {
+		return false
+	}
 	for _, g := range s.groups {
 		if !g.Ready() {
 			return false
 		}
 	}
-	return len(s.groups) > 0
+	return len(s.plan.Groups) > 0
 }
 
 // Gauge brings the gauges of queues, connections and rights up to date.
--- a/targets/watch.go
+++ b/targets/watch.go
@@ -12,6 +12,7 @@
 	aliveSpan   = 400 * time.Millisecond // a member that answered so lately is alive
 	silentAfter = 150 * time.Millisecond // a member that leaves a statement unanswered for so long is probed
 	probeLimit  = 250 * time.Millisecond // for a probe's answer
+	wantedSpan  = 6 * time.Second        // for which a group is served without requests that this daemon is no home of
 	warmSpare   = 1                      // idle connections that are opened ahead of need
 )
 
@@ -26,10 +27,29 @@
 		case <-ticker.C:
 		case <-g.kicked:
 		}
+		if g.unwanted() {
+			g.set.drop(g)
+			return
+		}
 		g.step()
 	}
 }
 
+// unwanted reports whether this daemon is no home of the group and nobody has used it for a while.
+func (g *Group) unwanted() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.home || g.moving || len(g.waits) > 0 || g.now() < g.wantedAt.Add(wantedSpan) {
+		return false
+	}
+	for _, m := range g.members {
+		if m.busy > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // step begins whatever is due now.
 func (g *Group) step() {
 	g.mu.Lock()
