follow: three readers of the store for a large fleet; the others learn from them

While the list of daemons was short at the start each took itself for a home: 27,891 connections over the cap. Ruled out: longer feeds (the members' list and the start stay); one reader (its loss is felt by all until it is noticed). Change: beyond 12 daemons three read the store, by rendezvous hashing; the others keep one question open at one of them, which answers as soon as there is something new and tells when the store last confirmed it. A reader that is silent, or that has not heard from the store for 2.4 s, is left for the next one; without any a daemon reads the store itself. A daemon that registers anew reads the list again after 0.5 s before it uses it, and a group that it has never served is dropped at once when it is no home.

--- a/events/events.go
+++ b/events/events.go
@@ -23,6 +23,7 @@
 	InstanceChanged    Event = 301
 	PeerFailed         Event = 302
 	PeerBack           Event = 303
+	ReaderStale        Event = 304
 	HomeOpened         Event = 401
 	HomeClosed         Event = 402
 	ProbeFailed        Event = 403
@@ -78,6 +79,7 @@
 	InstanceChanged:    {slog.LevelInfo, "instances changed"},
 	PeerFailed:         {slog.LevelWarn, "peer does not answer; other homes are asked first"},
 	PeerBack:           {slog.LevelInfo, "peer answers again"},
+	ReaderStale:        {slog.LevelWarn, "peer has not heard from the platform for long; another one is asked"},
 	HomeOpened:         {slog.LevelInfo, "home of a database opened"},
 	HomeClosed:         {slog.LevelInfo, "home of a database closed"},
 	ProbeFailed:        {slog.LevelWarn, "member stopped answering probes"},
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -1,5 +1,6 @@
-// Package follow keeps a daemon's plan, members and instances up to date with the platform's store. In an outage the
-// last known ones stay in force. A plan's version never goes back.
+// Package follow keeps a daemon's plan, members and instances up to date with the platform's store. In a small fleet
+// every daemon reads the store; in a large one a few do and the others learn from them, so that the calls do not grow
+// with the fleet. In an outage the last known ones stay in force. A plan's version never goes back.
 package follow
 
 import (
@@ -25,6 +26,9 @@
 	memberPause   = 2500 * time.Millisecond // between two lists of members
 	refreshPause  = 400 * time.Millisecond  // between two lists that were asked for
 	instancePause = 20 * time.Second        // between two lists of instances
+	readerPause   = 5 * time.Second         // between two lists of instances that others learn from
+	startPause    = 500 * time.Millisecond  // for daemons that start together to become known
+	directPoll    = 250 * time.Millisecond  // between two looks whether this daemon has to read the store
 )
 
 // Config holds what following needs.
@@ -59,17 +63,24 @@
 	plan    atomic.Pointer[citronusher.Plan]
 	members atomic.Bool
 
-	mu        sync.Mutex
-	down      map[string]bool // the parts that do not get answers
-	instances []citronusher.Instance
-	list      []citronusher.MemberReport // the members that are in force
-	listedAt  time.Time                  // when they were listed, here or at another daemon
+	mu          sync.Mutex
+	down        map[string]bool // the parts that do not get answers
+	confirmedAt time.Time       // when the store last confirmed that there is no newer plan
+	instances   []citronusher.Instance
+	readers     []citronusher.Instance     // that this daemon learns from, the best first; none when it reads the store
+	failedAt    map[string]time.Time       // when a reader was last of no use
+	directUntil time.Time                  // until when this daemon reads the store because no reader is of use
+	list        []citronusher.MemberReport // the members that are in force
+	listedAt    time.Time                  // when they were listed, here or at another daemon
+	digests     digests                    // of the lists
+	changed     chan struct{}              // closed when there is something new to learn
 }
 
 // New starts following.
 func New(config Config) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{config: config, ctx: ctx, cancel: cancel, refresh: make(chan struct{}, 1), down: map[string]bool{}}
+	f.failedAt, f.changed = map[string]time.Time{}, make(chan struct{})
 	f.plan.Store(&citronusher.Plan{})
 	f.tasks.Go(func() error { f.followPlan(); return nil })
 	f.tasks.Go(func() error { f.followMembers(); return nil })
@@ -122,41 +133,70 @@
 
 func nextPause(before time.Duration) time.Duration { return min(retryMost, max(retryPause, before*2)) }
 
+// planFeed is how far a daemon has read the store's feed of plans.
+type planFeed struct {
+	version uint64 // the store's
+	known   bool
+	wait    time.Duration // before the next call
+}
+
 func (f *Follower) followPlan() {
-	version, known, wait := uint64(0), false, time.Duration(0)
+	var feed planFeed
 	for f.ctx.Err() == nil {
-		var plan citronusher.Plan
-		var err error
-		found := true
-		if known {
-			plan, found, version, err = f.config.Store.AwaitPlan(f.ctx, version)
-		} else {
-			plan, version, err = f.config.Store.Plan(f.ctx)
-		}
-		if !errors.Is(err, citronusher.ErrNotFound) {
-			f.note("plan", err)
-		}
-		switch {
-		case errors.Is(err, citronusher.ErrNotFound):
-			wait = retryPause
-		case errors.Is(err, citronusher.ErrInvalid):
-			events.Log(f.config.Logger, events.DocumentRefused, "error", err)
-			wait = nextPause(wait)
-		case err != nil:
-			f.learn()
-			wait = nextPause(wait)
-		default:
-			known, wait = true, planPause
-			if found {
-				f.apply(plan)
+		if reader, ok := f.reader(time.Now()); ok {
+			feed = planFeed{}
+			if !f.pause(f.learnFrom(reader)) {
+				return
 			}
+			continue
 		}
-		if !f.pause(wait) {
+		f.readPlan(&feed)
+		if !f.pause(feed.wait) {
 			return
 		}
 	}
 }
 
+// readPlan makes one call to the store.
+func (f *Follower) readPlan(feed *planFeed) {
+	var plan citronusher.Plan
+	var err error
+	found := true
+	if feed.known {
+		plan, found, feed.version, err = f.config.Store.AwaitPlan(f.ctx, feed.version)
+	} else {
+		plan, feed.version, err = f.config.Store.Plan(f.ctx)
+	}
+	if !errors.Is(err, citronusher.ErrNotFound) {
+		f.note("plan", err)
+	}
+	switch {
+	case errors.Is(err, citronusher.ErrNotFound):
+		feed.wait = retryPause
+	case errors.Is(err, citronusher.ErrInvalid):
+		events.Log(f.config.Logger, events.DocumentRefused, "error", err)
+		feed.wait = nextPause(feed.wait)
+	case err != nil:
+		f.learn()
+		feed.wait = nextPause(feed.wait)
+	default:
+		feed.known, feed.wait = true, planPause
+		if found {
+			f.apply(plan)
+		}
+		f.confirm(time.Now())
+	}
+}
+
+// confirm records when the store confirmed that there was no newer plan.
+func (f *Follower) confirm(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.After(f.confirmedAt) {
+		f.confirmedAt = at
+	}
+}
+
 // apply puts a plan in force unless it is older than the one in force.
 func (f *Follower) apply(plan citronusher.Plan) {
 	f.mu.Lock()
@@ -169,6 +209,13 @@
 	f.config.Meter.Version().Update(int64(plan.Version)) //nolint:gosec // versions are small
 	events.Log(f.config.Logger, events.DocumentApplied, "version", plan.Version, "before", before, "routes", len(plan.Routes))
 	f.config.Plan(plan)
+	f.wake()
+}
+
+// wake answers the daemons that wait for something new. The caller holds mu.
+func (f *Follower) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
 }
 
 // setMembers puts a list of members in force unless a later one is.
@@ -179,13 +226,17 @@
 		return
 	}
 	f.list, f.listedAt = members, listedAt
+	if digest := digestOf(members); digest != f.digests.members {
+		f.digests.members = digest
+		f.wake()
+	}
 	f.config.Members(members)
 	f.members.Store(true)
 }
 
 func (f *Follower) followMembers() {
 	wait := time.Duration(0)
-	for f.ctx.Err() == nil {
+	for f.awaitDirect() {
 		members, err := f.config.Store.Members(f.ctx)
 		f.note("members", err)
 		if err == nil {
@@ -208,7 +259,7 @@
 func (f *Follower) followInstances() {
 	registered, wait := false, time.Duration(0)
 	early := []time.Duration{time.Second, 2 * time.Second} //nolint:mnd // daemons that start together
-	for f.ctx.Err() == nil {
+	for !registered && f.ctx.Err() == nil || f.awaitDirect() {
 		instances, err := f.config.Store.Instances(f.ctx)
 		if !registered {
 			var registerErr error
@@ -217,14 +268,11 @@
 		}
 		f.note("instances", err)
 		if err == nil {
-			wait = instancePause
+			wait = f.instancePause(len(instances))
 			if len(early) > 0 {
 				wait, early = early[0], early[1:]
 			}
-			f.mu.Lock()
-			f.instances = instances
-			f.mu.Unlock()
-			f.config.Instances(instances)
+			f.setInstances(instances)
 		} else {
 			wait = nextPause(wait)
 		}
@@ -234,19 +282,34 @@
 	}
 }
 
+func (f *Follower) instancePause(count int) time.Duration {
+	if count > smallFleet {
+		return readerPause
+	}
+	return instancePause
+}
+
 // register makes the daemon known to the others, unless an earlier process of the same name and address is in the
-// list. In that case nothing has to be written, which a store that only reads cannot do.
+// list. In that case nothing has to be written, which a store that only reads cannot do. Otherwise the list is read
+// again after a while: daemons that start together become known meanwhile.
 func (f *Follower) register(instances *[]citronusher.Instance) (bool, error) {
-	if !slices.ContainsFunc(*instances, func(i citronusher.Instance) bool {
+	if slices.ContainsFunc(*instances, func(i citronusher.Instance) bool {
 		return i.Name() == f.config.Self.Name() && i.Peer() == f.config.Self.Peer()
 	}) {
-		if err := f.config.Store.Register(f.ctx, f.config.Self); err != nil {
-			return false, err
-		}
-		*instances = append(*instances, f.config.Self)
+		f.config.Registered()
+		return true, nil
+	}
+	if err := f.config.Store.Register(f.ctx, f.config.Self); err != nil {
+		return false, err
 	}
 	f.config.Registered()
-	return true, nil
+	*instances = append(*instances, f.config.Self)
+	f.pause(startPause)
+	again, err := f.config.Store.Instances(f.ctx)
+	if err == nil {
+		*instances = again
+	}
+	return true, err
 }
 
 // Close stops following and waits.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,7 +49,7 @@
 	targets  *targets.Set
 	proxy    *proxy.Proxy
 	peers    *peer.GroupServer
-	carrier  *peer.Carrier
+	caller   *peer.GroupClient
 	relay    *relay.Relay
 	served   *relay.Server
 	health   *http.Server
@@ -78,11 +78,12 @@
 	for _, option := range opts {
 		option(g)
 	}
+	g.caller = peer.NewGroupClient(clock)
 	g.client = store.New(s.Store())
 	g.store = store.NewStore(g.client, g.logger)
 	g.targets = targets.New(targets.Config{
 		Self: s.Name(), Domain: s.Domain(), Dialer: line.NewDialer(clock), Store: g.store,
-		Peers: peer.GroupClient{}, Promoter: store.NewPromoter(s.Promotion(), s.Name()), Refresh: g.refresh,
+		Peers: g.caller, Promoter: store.NewPromoter(s.Promotion(), s.Name()), Refresh: g.refresh,
 		Timer: clock, Logger: g.logger, Meter: g.meter,
 	})
 	if err := g.start(clock); err != nil {
@@ -108,9 +109,8 @@
 	if err != nil {
 		return err
 	}
-	g.carrier = peer.NewCarrier(clock)
 	g.relay = relay.New(relay.Config{
-		Self: s.Name(), Local: open, Homes: g.targets.Homes, Carrier: g.carrier, Timer: clock, Logger: g.logger, Meter: g.meter,
+		Self: s.Name(), Local: open, Homes: g.targets.Homes, Carrier: g.caller, Timer: clock, Logger: g.logger, Meter: g.meter,
 	})
 	g.proxy, err = proxy.New(proxy.Config{
 		Address: s.Entry(), Protocol: func(conn net.Conn) citronusher.Caller { return line.NewCaller(conn) },
@@ -126,7 +126,7 @@
 		Self:  citronusher.NewInstance(s.Name(), g.peers.Address(), s.Domain(), citronusher.InstanceLive).WithCapacity(s.Cores()),
 		Store: g.store, Plan: g.targets.Apply, Members: g.targets.SetMembers,
 		Instances:  g.targets.SetDaemons,
-		Registered: g.targets.SetKnown, Peers: peer.GroupClient{}, Logger: g.logger, Meter: g.meter,
+		Registered: g.targets.SetKnown, Peers: g.caller, Logger: g.logger, Meter: g.meter,
 	})
 	return nil
 }
@@ -163,9 +163,9 @@
 }
 
 // Learn tells another daemon what this one knows.
-func (g *Gateway) Learn(version uint64) citronusher.Knowledge {
+func (g *Gateway) Learn(ctx context.Context, known citronusher.Known) citronusher.Knowledge {
 	if f := g.following(); f != nil {
-		return f.Knowledge(version)
+		return f.Tell(ctx, known)
 	}
 	return citronusher.Knowledge{}
 }
@@ -288,7 +288,7 @@
 		errs = append(errs, f.Close())
 	}
 	if g.relay != nil {
-		errs = append(errs, g.relay.Close(), g.carrier.Close())
+		errs = append(errs, g.relay.Close())
 	}
 	errs = append(errs, g.targets.Close())
 	if g.peers != nil {
@@ -297,7 +297,7 @@
 	if g.health != nil {
 		errs = append(errs, g.health.Close())
 	}
-	errs = append(errs, g.tasks.Wait(), g.client.Close())
+	errs = append(errs, g.tasks.Wait(), g.caller.Close(), g.client.Close())
 	events.Log(g.logger, events.Stopped)
 	return errors.Join(errs...)
 }
--- a/peer/group.go
+++ b/peer/group.go
@@ -27,8 +27,8 @@
 	// Renewed returns how long ago a replica was asked that renewed the daemon's right to a group's primary of a term, and
 	// false when it has no such right.
 	Renewed(group string, term uint64) (age time.Duration, ok bool)
-	// Learn returns what the daemon knows that is newer than the plan's version.
-	Learn(version uint64) citronusher.Knowledge
+	// Learn returns what the daemon knows besides what is known already, as soon as there is something, or after the wait.
+	Learn(ctx context.Context, known citronusher.Known) citronusher.Knowledge
 }
 
 // GroupServer answers the daemons before the same groups.
@@ -89,18 +89,30 @@
 
 // Learn tells what the daemon knows.
 func (s *GroupServer) Learn(
-	_ context.Context, request *connect.Request[peerpb.LearnRequest],
+	ctx context.Context, request *connect.Request[peerpb.LearnRequest],
 ) (*connect.Response[peerpb.LearnResponse], error) {
-	known := s.handler.Learn(request.Msg.GetVersion())
-	answer := &peerpb.LearnResponse{Age: known.Age.Milliseconds()}
+	m := request.Msg
+	known := s.handler.Learn(ctx, citronusher.Known{
+		Plan: m.GetVersion(), Members: m.GetMembers(), Instances: m.GetInstances(), Wait: micros(m.GetWait()),
+	})
+	answer := &peerpb.LearnResponse{
+		PlanAge: known.PlanAge.Microseconds(), MembersAge: known.MembersAge.Microseconds(), Held: known.Held.Microseconds(),
+	}
 	var err error
-	if known.Plan.Version > request.Msg.GetVersion() {
+	if known.Plan.Version > m.GetVersion() {
 		if answer.Plan, err = json.Marshal(known.Plan); err != nil {
 			return nil, connect.NewError(connect.CodeInternal, err)
 		}
 	}
-	if answer.Members, err = json.Marshal(known.Members); err != nil {
-		return nil, connect.NewError(connect.CodeInternal, err)
+	if known.Members != nil {
+		if answer.Members, err = json.Marshal(known.Members); err != nil {
+			return nil, connect.NewError(connect.CodeInternal, err)
+		}
+	}
+	for _, i := range known.Instances {
+		answer.Instances = append(answer.Instances, &peerpb.LearntInstance{
+			Name: i.Name(), Peer: i.Peer(), Domain: i.Domain(), Cores: i.Capacity(),
+		})
 	}
 	return connect.NewResponse(answer), nil
 }
@@ -108,11 +120,8 @@
 // Close stops the server and waits.
 func (s *GroupServer) Close() error { return errors.Join(s.http.Close(), s.serving.Wait()) }
 
-// GroupClient calls the daemons before the same groups.
-type GroupClient struct{}
-
 // call returns a client for one call on a connection of its own: an older one may have gone silent.
-func (GroupClient) call(instance citronusher.Instance) (peerpb.GroupServiceClient, func()) {
+func (*GroupClient) call(instance citronusher.Instance) (peerpb.GroupServiceClient, func()) {
 	dialer := &net.Dialer{Timeout: groupDial}
 	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
 	client := peerpb.NewGroupServiceClient(&http.Client{Transport: transport}, "http://"+instance.Peer())
@@ -120,7 +129,7 @@
 }
 
 // Yield asks a daemon to give its rights up. Its error wraps ErrRefused when the daemon does not run: it then has none.
-func (c GroupClient) Yield(
+func (c *GroupClient) Yield(
 	ctx context.Context, instance citronusher.Instance, group string, claim citronusher.Claim, term uint64,
 ) error {
 	client, done := c.call(instance)
@@ -138,7 +147,7 @@
 }
 
 // Renewed asks a daemon for its right. Its error wraps ErrUnavailable, or ErrNotFound when it has none.
-func (c GroupClient) Renewed(
+func (c *GroupClient) Renewed(
 	ctx context.Context, instance citronusher.Instance, group string, term uint64,
 ) (time.Duration, error) {
 	client, done := c.call(instance)
@@ -153,24 +162,33 @@
 	return time.Duration(response.Msg.GetAge()) * time.Microsecond, nil
 }
 
-// Learn asks a daemon what it knows. Its error wraps ErrUnavailable or ErrInvalid.
-func (c GroupClient) Learn(
-	ctx context.Context, instance citronusher.Instance, version uint64,
+// Learn asks a daemon what it knows. Its error wraps ErrUnavailable, ErrUnreached or ErrInvalid.
+func (c *GroupClient) Learn(
+	ctx context.Context, instance citronusher.Instance, known citronusher.Known,
 ) (citronusher.Knowledge, error) {
-	client, done := c.call(instance)
-	defer done()
-	response, err := client.Learn(ctx, connect.NewRequest(&peerpb.LearnRequest{Version: version}))
+	response, err := c.client(instance).Learn(ctx, connect.NewRequest(&peerpb.LearnRequest{
+		Version: known.Plan, Members: known.Members, Instances: known.Instances, Wait: known.Wait.Microseconds(),
+	}))
 	if err != nil {
-		return citronusher.Knowledge{}, fmt.Errorf("%w: daemon %s: %w", citronusher.ErrUnavailable, instance.Name(), err)
+		return citronusher.Knowledge{}, carryError(instance, err)
+	}
+	m := response.Msg
+	learnt := citronusher.Knowledge{
+		PlanAge: micros(m.GetPlanAge()), MembersAge: micros(m.GetMembersAge()), Held: micros(m.GetHeld()),
+	}
+	if body := m.GetPlan(); len(body) > 0 {
+		if err := json.Unmarshal(body, &learnt.Plan); err != nil {
+			return learnt, fmt.Errorf("%w: plan of daemon %s: %w", citronusher.ErrInvalid, instance.Name(), err)
+		}
 	}
-	known := citronusher.Knowledge{Age: time.Duration(response.Msg.GetAge()) * time.Millisecond}
-	if body := response.Msg.GetPlan(); len(body) > 0 {
-		if err := json.Unmarshal(body, &known.Plan); err != nil {
-			return known, fmt.Errorf("%w: plan of daemon %s: %w", citronusher.ErrInvalid, instance.Name(), err)
+	if body := m.GetMembers(); len(body) > 0 {
+		if err := json.Unmarshal(body, &learnt.Members); err != nil {
+			return learnt, fmt.Errorf("%w: members of daemon %s: %w", citronusher.ErrInvalid, instance.Name(), err)
 		}
 	}
-	if err := json.Unmarshal(response.Msg.GetMembers(), &known.Members); err != nil {
-		return known, fmt.Errorf("%w: members of daemon %s: %w", citronusher.ErrInvalid, instance.Name(), err)
+	for _, i := range m.GetInstances() {
+		learnt.Instances = append(learnt.Instances,
+			citronusher.NewInstance(i.GetName(), i.GetPeer(), i.GetDomain(), citronusher.InstanceLive).WithCapacity(i.GetCores()))
 	}
-	return known, nil
+	return learnt, nil
 }
--- a/peer/peerpb/group.connect.go
+++ b/peer/peerpb/group.connect.go
@@ -53,7 +53,7 @@
 	Yield(context.Context, *connect.Request[YieldRequest]) (*connect.Response[YieldResponse], error)
 	// Renew tells when a replica last renewed the receiver's right to a group's primary, so that the sender need not ask one.
 	Renew(context.Context, *connect.Request[RenewRequest]) (*connect.Response[RenewResponse], error)
-	// Learn returns the plan and the members that the receiver knows.
+	// Learn returns the plan, the members and the daemons that the receiver knows.
 	Learn(context.Context, *connect.Request[LearnRequest]) (*connect.Response[LearnResponse], error)
 	// Execute runs one statement of a session of the sender.
 	Execute(context.Context, *connect.Request[ExecuteRequest]) (*connect.Response[ExecuteResponse], error)
@@ -159,7 +159,7 @@
 	Yield(context.Context, *connect.Request[YieldRequest]) (*connect.Response[YieldResponse], error)
 	// Renew tells when a replica last renewed the receiver's right to a group's primary, so that the sender need not ask one.
 	Renew(context.Context, *connect.Request[RenewRequest]) (*connect.Response[RenewResponse], error)
-	// Learn returns the plan and the members that the receiver knows.
+	// Learn returns the plan, the members and the daemons that the receiver knows.
 	Learn(context.Context, *connect.Request[LearnRequest]) (*connect.Response[LearnResponse], error)
 	// Execute runs one statement of a session of the sender.
 	Execute(context.Context, *connect.Request[ExecuteRequest]) (*connect.Response[ExecuteResponse], error)
--- a/peer/task.go
+++ b/peer/task.go
@@ -22,14 +22,14 @@
 	carryIdle    = 10 * time.Second       // after which an unused connection is closed
 )
 
-// Carrier carries tasks to other daemons. It implements citronusher.TaskCarrier.
-type Carrier struct {
+// GroupClient calls the daemons before the same groups. It implements citronusher.Peers and citronusher.TaskCarrier.
+type GroupClient struct {
 	http  *http.Client
 	timer citronusher.Timer
 }
 
-// NewCarrier returns a carrier without connections.
-func NewCarrier(timer citronusher.Timer) *Carrier {
+// NewGroupClient returns a client without connections.
+func NewGroupClient(timer citronusher.Timer) *GroupClient {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	dialer := &net.Dialer{Timeout: carryDial, Control: limitSilence}
@@ -43,7 +43,7 @@
 			return conn, nil
 		},
 	}
-	return &Carrier{http: &http.Client{Transport: transport}, timer: timer}
+	return &GroupClient{http: &http.Client{Transport: transport}, timer: timer}
 }
 
 // limitSilence makes a connection fail when the other side does not acknowledge what was sent.
@@ -57,12 +57,12 @@
 }
 
 // Close drops the idle connections.
-func (c *Carrier) Close() error {
+func (c *GroupClient) Close() error {
 	c.http.CloseIdleConnections()
 	return nil
 }
 
-func (c *Carrier) client(home citronusher.Instance) peerpb.GroupServiceClient {
+func (c *GroupClient) client(home citronusher.Instance) peerpb.GroupServiceClient {
 	return peerpb.NewGroupServiceClient(c.http, "http://"+home.Peer(), connect.WithReadMaxBytes(maxBody))
 }
 
@@ -76,7 +76,7 @@
 }
 
 // Execute has a daemon run a task.
-func (c *Carrier) Execute(
+func (c *GroupClient) Execute(
 	ctx context.Context, home citronusher.Instance, session citronusher.SessionKey, task citronusher.Task,
 ) (citronusher.Completion, error) {
 	response, err := c.client(home).Execute(ctx, connect.NewRequest(toTask(session, task, c.timer.Instant())))
@@ -102,7 +102,7 @@
 }
 
 // Rollback has a daemon roll a session's open transaction back.
-func (c *Carrier) Rollback(ctx context.Context, home citronusher.Instance, session citronusher.SessionKey) error {
+func (c *GroupClient) Rollback(ctx context.Context, home citronusher.Instance, session citronusher.SessionKey) error {
 	_, err := c.client(home).Rollback(ctx, connect.NewRequest(&peerpb.RollbackRequest{
 		Instance: session.Instance, Session: session.Number,
 	}))
@@ -113,7 +113,7 @@
 }
 
 // Ping asks whether a daemon answers.
-func (c *Carrier) Ping(ctx context.Context, home citronusher.Instance) error {
+func (c *GroupClient) Ping(ctx context.Context, home citronusher.Instance) error {
 	if _, err := c.client(home).Ping(ctx, connect.NewRequest(&peerpb.PingRequest{})); err != nil {
 		return carryError(home, err)
 	}
--- a/plan.go
+++ b/plan.go
@@ -115,13 +115,30 @@
 	Promote(ctx context.Context, group, member string, claim Claim) error
 }
 
-// Knowledge is what one daemon tells another one while the store does not answer it.
+// Knowledge is what one daemon tells another one of what it read from the store.
 type Knowledge struct {
 	// Plan is the plan that it has in force; without a version when it is not newer than the asker's.
 	Plan Plan
-	// Members are the members that it knows, and Age is how long ago they were listed.
+	// PlanAge is how long ago the store confirmed that there was no newer plan.
+	PlanAge time.Duration
+	// Members are the members that it knows; nil when they are those that the asker knows.
 	Members []MemberReport
-	Age     time.Duration
+	// MembersAge is how long ago the members were listed.
+	MembersAge time.Duration
+	// Instances are the daemons that it knows; nil when they are those that the asker knows.
+	Instances []Instance
+	// Held is how long it kept the question, waiting for something new.
+	Held time.Duration
+}
+
+// Known is what a daemon knows already when it asks another one.
+type Known struct {
+	// Plan is the version of its plan.
+	Plan uint64
+	// Members and Instances are the digests of its lists; 0 when it has none.
+	Members, Instances uint64
+	// Wait is how long the question may be kept until there is something new.
+	Wait time.Duration
 }
 
 // Peers reaches the other daemons before the same groups.
@@ -132,6 +149,6 @@
 	// Renewed returns how long before its answer a daemon asked the replica that renewed its right to a group's primary
 	// of a term. Its error wraps ErrUnavailable, or ErrNotFound when it has no such right.
 	Renewed(ctx context.Context, instance Instance, group string, term uint64) (time.Duration, error)
-	// Learn returns what a daemon knows, and its plan if that is newer than version. Its error wraps ErrUnavailable.
-	Learn(ctx context.Context, instance Instance, version uint64) (Knowledge, error)
+	// Learn returns what a daemon knows besides what is known already. Its error wraps ErrUnavailable.
+	Learn(ctx context.Context, instance Instance, known Known) (Knowledge, error)
 }
--- a/targets/group.go
+++ b/targets/group.go
@@ -53,7 +53,7 @@
 func newGroup(s *Set, name string) *Group {
 	return &Group{
 		set: s, name: name, done: make(chan struct{}), members: map[string]*member{}, waits: map[*place.Ticket]chan grant{},
-		changed: make(chan struct{}), kicked: make(chan struct{}, 1), wantedAt: s.config.Timer.Instant(),
+		changed: make(chan struct{}), kicked: make(chan struct{}, 1),
 	}
 }
 
--- a/targets/set.go
+++ b/targets/set.go
@@ -192,6 +192,7 @@
 	}
 	count, mine := s.homes.count(name, plan.Connections, s.config.Self)
 	g := s.open(name)
+	g.wanted()
 	g.configure(share{connections: plan.Connections, homes: count, home: mine}, reports)
 	return g, true
 }
--- a/targets/watch.go
+++ b/targets/watch.go
@@ -35,6 +35,13 @@
 	}
 }
 
+// wanted records that a request is about to use the group.
+func (g *Group) wanted() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.wantedAt = g.now()
+}
+
 // unwanted reports whether this daemon is no home of the group and nobody has used it for a while.
 func (g *Group) unwanted() bool {
 	g.mu.Lock()
