follow: a daemon whose readers all fail reads the store within the configuration's bound

Change: a reader that has not answered yet may not keep the question; one that failed is left for 10 s. Before and after: go test ./follow: TestWithoutReaders failed, now passes, three times with the race detector.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -62,6 +62,7 @@
 	refresh chan struct{}
 	plan    atomic.Pointer[citronusher.Plan]
 	members atomic.Bool
+	trusted string // the reader that answered last; used by one goroutine
 
 	mu          sync.Mutex
 	down        map[string]bool // the parts that do not get answers
--- a/follow/learn.go
+++ b/follow/learn.go
@@ -23,8 +23,8 @@
 	learnFrom   = 2                       // daemons that are asked at a time in an outage
 	learnPause  = 20 * time.Millisecond   // between two questions
 	staleAfter  = 2400 * time.Millisecond // since the store last confirmed a reader's plan
-	failedSpan  = 3 * time.Second         // for which a reader of no use is not asked
-	directSpan  = 3 * time.Second         // for which a daemon without a reader reads the store
+	failedSpan  = 10 * time.Second        // for which a reader of no use is not asked
+	directSpan  = 10 * time.Second        // for which a daemon without a reader reads the store
 )
 
 // digests tell whether lists are the same.
@@ -108,12 +108,19 @@
 }
 
 // learnFrom asks a reader for what is new and returns the pause before the next question. A reader that does not answer,
-// or that has not heard from the store for long, is left alone for a while.
+// or that has not heard from the store for long, is left alone for a while. One that has not answered yet may not keep
+// the question, so that little time is lost when it is of no use either.
 func (f *Follower) learnFrom(reader citronusher.Instance) time.Duration {
-	learnt, err := f.ask(reader, learnWait)
+	wait := time.Duration(0)
+	if f.trusted == reader.Name() {
+		wait = learnWait
+	}
+	learnt, err := f.ask(reader, wait)
 	if err == nil && learnt.PlanAge < staleAfter {
+		f.trusted = reader.Name()
 		return learnPause
 	}
+	f.trusted = ""
 	f.mu.Lock()
 	f.failedAt[reader.Name()] = time.Now()
 	f.mu.Unlock()
