--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -20,6 +20,7 @@
 const (
 	waitLimit = 15 * time.Second
 	copyPause = 60 * time.Millisecond
+	drainSpan = 6 * time.Second
 )
 
 // spanPattern matches the time after which a caller is told to come back.
@@ -47,16 +48,26 @@
 	for _, c := range s.callers {
 		c.Close()
 	}
-	for _, d := range s.daemons {
-		if err := d.Close(); err != nil {
-			s.t.Errorf("close: %v", err)
-		}
+	for i := range s.daemons {
+		s.end(i + 1)
 	}
 	if s.platform != nil {
 		s.platform.Close()
 	}
 }
 
+// end closes a daemon without a planned stop.
+func (s *script) end(number int) {
+	d := s.daemons[number-1]
+	if d == nil {
+		return
+	}
+	if err := d.Close(); err != nil {
+		s.t.Errorf("close: %v", err)
+	}
+	s.daemons[number-1] = nil
+}
+
 func (s *script) run(t *testing.T, d *datadriven.TestData) string {
 	switch d.Cmd {
 	case "platform":
@@ -246,6 +257,11 @@
 
 func (s *script) action(fields []string) string {
 	switch fields[0] {
+	case "end":
+		s.end(s.number(fields[1]))
+	case "stop":
+		s.daemons[s.number(fields[1])-1].Drain(drainSpan)
+		s.end(s.number(fields[1]))
 	case "crash":
 		s.member(fields[1]).Crash()
 	case "crash-primary":
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,180 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/meter"
+	"citronusher.example/citronusher/relay"
+)
+
+// fakeTimer is a clock that stands still.
+type fakeTimer struct{}
+
+func (fakeTimer) Instant() citronusher.Instant { return citronusher.Instant(0).Add(time.Hour) }
+
+// fleet is a daemon e and the homes that it may reach, each with a way of its own to answer.
+type fleet struct {
+	mu      sync.Mutex
+	count   int
+	homes   []citronusher.Instance
+	ways    map[string]string
+	asked   []string // what was asked of whom since the last report
+	rolled  chan string
+	keys    map[uint64]bool
+	relay   *relay.Relay
+	session citronusher.Executor
+}
+
+func (f *fleet) set(name, way string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ways[name] = way
+}
+
+// answer plays how name answers a task.
+func (f *fleet) answer(name string, task citronusher.Task) (citronusher.Completion, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked = append(f.asked, name)
+	done := citronusher.Completion{Seen: task.Seen, Trace: citronusher.Trace{Member: "m", Tries: 1}}
+	if task.Part != citronusher.PartNone && task.Statement.Kind != citronusher.StatementCommit {
+		done.Answer.State = citronusher.StateOpen
+	}
+	switch way := f.ways[name]; way {
+	case "", "runs":
+		return done, nil
+	case "unreached":
+		return citronusher.Completion{}, fmt.Errorf("%w: %s", citronusher.ErrUnreached, name)
+	case "breaks":
+		return citronusher.Completion{}, fmt.Errorf("%w: %s", citronusher.ErrUnavailable, name)
+	case "doubts":
+		return done, citronusher.Doubt(citronusher.ReasonBroken, "the connection to the member broke while the write ran")
+	default:
+		return done, citronusher.Refuse(citronusher.Reason(way), "refused at %s", name)
+	}
+}
+
+// Execute is another daemon's answer.
+func (f *fleet) Execute(
+	_ context.Context, home citronusher.Instance, key citronusher.SessionKey, task citronusher.Task,
+) (citronusher.Completion, error) {
+	f.mu.Lock()
+	f.keys[key.Number] = true
+	f.mu.Unlock()
+	done, err := f.answer(home.Name(), task)
+	done.Trace.Home = home.Name()
+	return done, err
+}
+
+// Rollback records which daemon was told to roll back.
+func (f *fleet) Rollback(_ context.Context, home citronusher.Instance, _ citronusher.SessionKey) error {
+	f.rolled <- home.Name()
+	return nil
+}
+
+// Ping is answered by daemons that run tasks.
+func (f *fleet) Ping(_ context.Context, home citronusher.Instance) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if way := f.ways[home.Name()]; way == "unreached" || way == "breaks" {
+		return citronusher.ErrUnavailable
+	}
+	return nil
+}
+
+// local runs tasks at the daemon itself.
+type local struct{ fleet *fleet }
+
+func (l local) Execute(task citronusher.Task) (citronusher.Completion, error) { return l.fleet.answer("e", task) }
+func (l local) Rollback()                                                     { l.fleet.rolled <- "e" }
+
+// TestRelay plays the scripts in testdata: which homes a statement is tried at, and what its session is told.
+func TestRelay(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		f := &fleet{ways: map[string]string{}, rolled: make(chan string, 16), keys: map[uint64]bool{}}
+		f.relay = relay.New(relay.Config{
+			Self: "e", Local: func() citronusher.Executor { return local{fleet: f} },
+			Homes:   func(string) ([]citronusher.Instance, int) { return f.homes, f.count },
+			Carrier: f, Timer: fakeTimer{}, Logger: slog.New(slog.DiscardHandler), Meter: meter.New(),
+		})
+		f.session = f.relay.Open()
+		datadriven.RunTest(t, path, f.run)
+		if err := f.relay.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func (f *fleet) run(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "homes":
+		f.count = len(d.CmdArgs)
+		d.MaybeScanArgs(t, "count", &f.count)
+		f.homes = nil
+		for _, arg := range d.CmdArgs {
+			if arg.Key != "count" {
+				f.homes = append(f.homes, citronusher.NewInstance(arg.Key, arg.Key, "", citronusher.InstanceLive))
+			}
+		}
+		return ""
+	case "is":
+		f.set(d.CmdArgs[0].Key, d.CmdArgs[1].Key)
+		return ""
+	case "task":
+		return f.task(d)
+	case "rollback":
+		f.session.Rollback()
+		return f.told()
+	case "rolled-back":
+		return <-f.rolled + "\n"
+	default:
+		d.Fatalf(t, "unknown command %s", d.Cmd)
+		return ""
+	}
+}
+
+// task runs one statement and tells who was asked and how it ended.
+func (f *fleet) task(d *datadriven.TestData) string {
+	now := fakeTimer{}.Instant()
+	task := citronusher.Task{
+		Route: citronusher.Route{Name: "r", Group: "g", Limit: time.Second}, ArrivedAt: now,
+		Statement: citronusher.Statement{ID: "q", Kind: citronusher.StatementRead},
+	}
+	for _, arg := range d.CmdArgs {
+		switch arg.Key {
+		case "write":
+			task.Writes, task.Statement.Kind = true, citronusher.StatementWrite
+		case "commit":
+			task.Statement.Kind = citronusher.StatementCommit
+		case "first":
+			task.Part = citronusher.PartFirst
+		case "next":
+			task.Part = citronusher.PartNext
+		}
+	}
+	done, err := f.session.Execute(task)
+	out := "asked " + f.told()
+	if err != nil {
+		failure := citronusher.AsFailure(err)
+		return out + fmt.Sprintf("%s, reason %s\n", failure.Outcome(), failure.Reason())
+	}
+	return out + fmt.Sprintf("done, %d tries\n", max(1, done.Trace.Tries))
+}
+
+// told returns who was asked since the last call.
+func (f *fleet) told() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	asked := strings.Join(f.asked, " ")
+	f.asked = nil
+	return asked + "\n"
+}
