execute: a read that a member ran and failed is read at another one

Ruled out: passing it on for the caller to repeat: two of the caller's retries for what one more read cures. Change: a read outside a transaction is tried at up to two more connections, other members first; the last answer is passed on.

--- a/errors.go
+++ b/errors.go
@@ -85,6 +85,7 @@
 	ReasonGone      Reason = "gone"      // the caller's pinned target connection no longer exists
 	ReasonStatement Reason = "statement" // the session has not prepared the statement
 	ReasonHome      Reason = "home"      // the daemon does not serve the group
+	ReasonFailed    Reason = "failed"    // the member ran the statement and failed
 )
 
 // Reasons lists every reason, in the order in which they are documented.
@@ -93,7 +94,7 @@
 		ReasonAuth, ReasonInput, ReasonDatabase, ReasonProfile, ReasonPrimary, ReasonClosed, ReasonLeaving,
 		ReasonConnect, ReasonPeer, ReasonLimit, ReasonQueue, ReasonFull, ReasonDeadline, ReasonBudget, ReasonBehind,
 		ReasonLost, ReasonBroken, ReasonConfirm, ReasonCancel, ReasonReplica, ReasonRepeat, ReasonGone,
-		ReasonStatement, ReasonHome,
+		ReasonStatement, ReasonHome, ReasonFailed,
 	}
 }
 
--- a/execute/execute.go
+++ b/execute/execute.go
@@ -18,6 +18,7 @@
 const (
 	runGrace      = 300 * time.Millisecond // beyond a statement's limit, for an answer that is on its way
 	rollbackLimit = 300 * time.Millisecond
+	failedReads   = 2 // members that may fail a read before their answer is passed on
 )
 
 // Config holds what executors need from their daemon.
@@ -118,19 +119,33 @@
 		}
 		e.use(hold, need.After)
 		answer, err := e.runSingle(hold, task, need)
-		if err == nil {
-			return answer, nil
-		}
-		failure := citronusher.AsFailure(err)
-		again := failure.Outcome() == citronusher.NotRun || !task.Writes
-		if !again || e.config.Timer.Instant() >= t.Deadline() {
-			return nil, err
+		failure, again := e.again(task, answer, err)
+		if !again {
+			return answer, err
 		}
 		e.retried(task, failure)
 		t.Avoid(hold.Member())
 	}
 }
 
+// again reports whether a statement outside a transaction may run once more, and why. A read that failed has no effect:
+// another member may be able to serve it.
+func (e *Executor) again(
+	task citronusher.Task, answer *citronusher.Answer, err error,
+) (failure *citronusher.Failure, again bool) {
+	late := e.config.Timer.Instant() >= task.Deadline()
+	switch {
+	case err != nil:
+		failure = citronusher.AsFailure(err)
+		return failure, !late && (failure.Outcome() == citronusher.NotRun || !task.Writes)
+	case !task.Writes && answer.Refusal == citronusher.RefusalFailed:
+		return citronusher.NewFailure(citronusher.Ran, citronusher.ReasonFailed, "the member ran the read and failed"),
+			!late && e.trace.Tries <= failedReads
+	default:
+		return nil, false
+	}
+}
+
 // runSingle runs a statement outside a transaction on a connection and gives the connection back.
 func (e *Executor) runSingle(hold *targets.Hold, task citronusher.Task, need place.Need) (*citronusher.Answer, error) {
 	if err := hold.Begin(); err != nil {
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -288,6 +288,8 @@
 		s.member(fields[1]).Insist(false)
 	case "break":
 		s.member(fields[1]).Break()
+	case "fail":
+		s.member(fields[1]).Fail(s.number(fields[2]))
 	case "busy":
 		s.member(fields[1]).Refuse(s.number(fields[2]))
 	case "cut":
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -94,8 +94,10 @@
 // local runs tasks at the daemon itself.
 type local struct{ fleet *fleet }
 
-func (l local) Execute(task citronusher.Task) (citronusher.Completion, error) { return l.fleet.answer("e", task) }
-func (l local) Rollback()                                                     { l.fleet.rolled <- "e" }
+func (l local) Execute(task citronusher.Task) (citronusher.Completion, error) {
+	return l.fleet.answer("e", task)
+}
+func (l local) Rollback() { l.fleet.rolled <- "e" }
 
 // TestRelay plays the scripts in testdata: which homes a statement is tried at, and what its session is told.
 func TestRelay(t *testing.T) {
--- a/standin/users/member.go
+++ b/standin/users/member.go
@@ -36,6 +36,7 @@
 	loseNext                          bool // the next answer to a write or commit is lost
 	breakNext                         bool // the next read, write or commit breaks its connection and does not run
 	busyNext                          int  // so many statements are refused
+	failNext                          int  // so many statements fail
 	pauses                            int
 	stubborn                          bool // orders to stop receiving are refused
 }
@@ -113,6 +114,9 @@
 // Insist makes the member refuse orders to stop receiving, or take them again.
 func (m *Member) Insist(stubborn bool) { m.with(func() { m.stubborn = stubborn }) }
 
+// Fail makes the member run the next statements and fail.
+func (m *Member) Fail(count int) { m.with(func() { m.failNext = count }) }
+
 // Refuse makes the member refuse the next statements as busy.
 func (m *Member) Refuse(count int) { m.with(func() { m.busyNext = count }) }
 
@@ -288,6 +292,10 @@
 		m.busyNext--
 		return s.failed("BUSY"), false
 	}
+	if slotted && m.failNext > 0 {
+		m.failNext--
+		return s.failed("FAILED"), false
+	}
 	body, wrote := s.run(id, text)
 	if wrote && m.loseNext {
 		m.loseNext = false
