route: large machines are homes before small ones

Ruled out: the members (12 slots a group, a third in use), readiness (all ready after 0.5 s). Change: machines with at least half of the largest capacity come first, when there are six or more of them. Before and after: go test ./route: TestLargeMachinesAreHomes.

--- a/route/homes.go
+++ b/route/homes.go
@@ -20,8 +20,10 @@
 const (
 	smallFleet   = MostHomes // daemons; among so few of them each one is a home as far as the connections allow
 	leastHomes   = 3
-	leastShare   = 2 // connections to each member that a home of a small fleet has
-	usefulShare  = 5 // connections to each member that a home of a large fleet has
+	leastShare   = 2   // connections to each member that a home of a small fleet has
+	usefulShare  = 5   // connections to each member that a home of a large fleet has
+	largePart    = 0.5 // of the largest capacity: what a machine has at least to be a home before smaller ones are
+	leastLarge   = 6   // machines of that size; with fewer of them all are alike
 	hashFraction = 1.0 / (1 << 53)
 	hashShift    = 64 - 53
 )
@@ -36,8 +38,35 @@
 }
 
 // Homes returns the count homes of database in order, by rendezvous hashing over the instances, weighted by their
-// capacity. Homes lie in different failure domains as far as there are enough of them.
+// capacity. Homes lie in different failure domains as far as there are enough of them. Machines that are small among
+// larger ones come last: a home serves the callers of many daemons.
 func Homes(database string, instances []citronusher.Instance, count int) []citronusher.Instance {
+	large, small := bySize(instances)
+	homes := pick(database, large, count)
+	return append(homes, pick(database, small, count-len(homes))...)
+}
+
+// bySize divides the instances into those that are homes first and the others.
+func bySize(instances []citronusher.Instance) (large, small []citronusher.Instance) {
+	most := 0.0
+	for _, instance := range instances {
+		most = max(most, instance.Capacity())
+	}
+	for _, instance := range instances {
+		if instance.Capacity() >= most*largePart {
+			large = append(large, instance)
+		} else {
+			small = append(small, instance)
+		}
+	}
+	if len(large) < leastLarge {
+		return instances, nil
+	}
+	return large, small
+}
+
+// pick returns up to count instances in the order of their scores, of different failure domains first.
+func pick(database string, instances []citronusher.Instance, count int) []citronusher.Instance {
 	scores := make([]float64, len(instances))
 	for i, instance := range instances {
 		scores[i] = weighted(score(database, instance.Name()), instance.Capacity())
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -143,3 +143,51 @@
 		b.ReportMetric(float64(3*1300)/830, "mean-homes")
 	}
 }
+
+// TestLargeMachinesAreHomes plays a fleet of eight large and 74 small machines: every home is a large machine, each group
+// has one in each failure domain, and the groups are divided among them. (Found on kcg-hq-grown trouble-2: small homes
+// had no processor time for the callers that came back after a loss of power; 1,686 requests were refused in 3 s.)
+func TestLargeMachinesAreHomes(t *testing.T) {
+	all := instances(82, 4)
+	for i := range all {
+		cores := 0.192
+		if i < 8 {
+			cores = 0.8
+		}
+		all[i] = all[i].WithCapacity(cores)
+	}
+	served := map[string]int{}
+	for n := range 8 {
+		domains := map[string]bool{}
+		for _, h := range route.Homes(fmt.Sprintf("guide-%d", n), all, 4) {
+			if h.Capacity() < 0.8 {
+				t.Errorf("guide-%d: the small %s is a home", n, h.Name())
+			}
+			domains[h.Domain()] = true
+			served[h.Name()]++
+		}
+		if len(domains) != 4 {
+			t.Errorf("guide-%d: homes in %d domains", n, len(domains))
+		}
+	}
+	for name, count := range served {
+		if count > 7 {
+			t.Errorf("%s is a home of %d groups of 8", name, count)
+		}
+	}
+	if last := route.Homes("guide", all, 20); len(last) != 20 {
+		t.Errorf("%d of 20 homes: small machines do not follow the large ones", len(last))
+	}
+}
+
+// TestCount shows how many homes a group has at the users' sites and at the target's size.
+func TestCount(t *testing.T) {
+	for _, c := range []struct{ connections, instances, domains, want int }{
+		{16, 6, 4, 6}, {34, 6, 3, 6}, {16, 10, 4, 8}, {46, 82, 4, 4}, {195, 78, 4, 4}, {16, 30, 4, 3}, {16, 830, 7, 3},
+		{35, 830, 7, 7}, {4, 5, 1, 2}, {1, 1, 1, 1},
+	} {
+		if got := route.Count(c.connections, c.instances, c.domains); got != c.want {
+			t.Errorf("%+v: %d homes", c, got)
+		}
+	}
+}
