relay, targets: a home that cannot use the primary refuses at once, and the next home is asked

Change: a statement may wait at a home only for as long as its session's daemon allows; homes are asked in rounds, at most three that answer, until one can serve or all say that it takes too long. Failures carry the time after which to come back. A daemon that is no home takes one connection and leaves promotions to homes for 2.5 s.

--- a/errors.go
+++ b/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 )
 
 // Sentinel errors. Callers test for them with errors.Is.
@@ -129,6 +130,7 @@
 	reason  Reason
 	message string
 	cause   error
+	after   time.Duration
 }
 
 // NewFailure returns the failure of a request that ended with outcome for reason.
@@ -153,6 +155,16 @@
 	return &g
 }
 
+// ComeBack returns the failure with the time after which the request may be served.
+func (f *Failure) ComeBack(after time.Duration) *Failure {
+	g := *f
+	g.after = after
+	return &g
+}
+
+// After returns the time after which the request may be served; 0 when that is not known.
+func (f *Failure) After() time.Duration { return f.after }
+
 // Unwrap returns the error that caused the failure; nil when none is known.
 func (f *Failure) Unwrap() error { return f.cause }
 
--- a/execute/execute.go
+++ b/execute/execute.go
@@ -98,7 +98,9 @@
 
 // ticket returns the place of a task in its group's queue.
 func ticket(task citronusher.Task, need place.Need) *place.Ticket {
-	return place.NewTicket(need, task.Route.Priority, task.ArrivedAt.Add(task.Route.Goal), task.Deadline())
+	t := place.NewTicket(need, task.Route.Priority, task.ArrivedAt.Add(task.Route.Goal), task.Deadline())
+	t.Wait(task.PatienceDeadline)
+	return t
 }
 
 // single serves a statement outside a transaction. What did not run is tried again until the statement's deadline.
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -74,12 +74,12 @@
 
 func toFailure(f *citronusher.Failure) *peerpb.Failure {
 	//nolint:gosec // the outcome is a small number
-	return &peerpb.Failure{Outcome: int32(f.Outcome()), Reason: string(f.Reason()), Message: f.Message()}
+	return &peerpb.Failure{Outcome: int32(f.Outcome()), Reason: string(f.Reason()), Message: f.Message(), After: f.After().Microseconds()}
 }
 
 func fromFailure(m *peerpb.Failure) *citronusher.Failure {
 	return citronusher.NewFailure(citronusher.Outcome(m.GetOutcome()), citronusher.Reason(m.GetReason()), "%s",
-		m.GetMessage())
+		m.GetMessage()).ComeBack(micros(m.GetAfter()))
 }
 
 func toInstances(instances []citronusher.Instance) []*peerpb.Instance {
--- a/peer/task.go
+++ b/peer/task.go
@@ -170,6 +170,7 @@
 		Writes: t.Writes, Part: uint32(t.Part), ReadOnly: t.ReadOnly, Values: t.Values,
 		Prepared: &peerpb.Definition{Name: t.Prepared.Name, Shape: t.Prepared.Shape, Writes: t.Prepared.Writes},
 		Seen:     toPosition(t.Seen), Arrived: now.Sub(t.ArrivedAt).Microseconds(), Began: now.Sub(t.BeganAt).Microseconds(),
+		Patience: t.PatienceDeadline.Sub(now).Microseconds(),
 	}
 }
 
@@ -188,6 +189,7 @@
 		Writes: m.GetWrites(), Part: citronusher.Part(m.GetPart()), ReadOnly: m.GetReadOnly(), Values: m.GetValues(),
 		Prepared: citronusher.Definition{Name: prepared.GetName(), Shape: prepared.GetShape(), Writes: prepared.GetWrites()},
 		Seen:     fromPosition(m.GetSeen()), ArrivedAt: now.Add(-micros(m.GetArrived())), BeganAt: now.Add(-micros(m.GetBegan())),
+		PatienceDeadline: now.Add(micros(m.GetPatience())),
 	}
 }
 
--- a/place/choose.go
+++ b/place/choose.go
@@ -85,6 +85,16 @@
 	return Candidate{}, false
 }
 
+// Servable reports whether any candidate could serve the request if it were not busy.
+func Servable(candidates []Candidate, need Need) bool {
+	for _, c := range candidates {
+		if c.Usable && (c.Primary || !need.Primary && need.Known && !c.Behind) {
+			return true
+		}
+	}
+	return false
+}
+
 func choosePrimary(candidates []Candidate, need Need) (Candidate, bool) {
 	for _, c := range candidates {
 		if c.Primary && c.Usable && c.free(need) {
--- a/place/queue.go
+++ b/place/queue.go
@@ -17,6 +17,7 @@
 	priority int
 	goal     citronusher.Instant
 	deadline citronusher.Instant
+	patience citronusher.Instant
 	avoid    []string
 }
 
@@ -26,6 +27,12 @@
 	return &Ticket{need: need, priority: priority, goal: goal, deadline: deadline}
 }
 
+// Wait lets the request wait until deadline while no member can serve it.
+func (t *Ticket) Wait(deadline citronusher.Instant) { t.patience = deadline }
+
+// Patience returns until when the request waits while no member can serve it.
+func (t *Ticket) Patience() citronusher.Instant { return t.patience }
+
 // Need returns what the request asks of a member.
 func (t *Ticket) Need() Need { return t.need }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -26,7 +26,10 @@
 	pingLimit     = 250 * time.Millisecond
 	pauseLeast    = 250 * time.Millisecond // before a home that did not answer is asked again
 	pauseMost     = 2 * time.Second
-	leavingSpan   = 8 * time.Second // for which a home that leaves is not used
+	leavingSpan   = 8 * time.Second        // for which a home that leaves is not used
+	patience      = 150 * time.Millisecond // for which one home waits for a member before the others are asked again
+	roundLeast    = 50 * time.Millisecond  // between two rounds of all homes
+	roundMost     = 3                      // homes that answer in one round
 )
 
 // Config holds what relaying needs from its daemon.
@@ -79,19 +82,19 @@
 }
 
 // order returns the daemons that are asked to run a task, in turn: the homes that answer, then this daemon itself.
-// A home that has been silent for long is replaced by the next daemon in the group's order.
-func (r *Relay) order(group string) []citronusher.Instance {
+// A home that has been silent for long is replaced by the next daemon in the group's order. mine is set when this daemon
+// is a home.
+func (r *Relay) order(group string) (list []citronusher.Instance, mine bool) {
 	candidates, count := r.config.Homes(group)
 	now := r.config.Timer.Instant()
-	list := make([]citronusher.Instance, 0, count+1)
+	list = make([]citronusher.Instance, 0, count+1)
 	places := 0 // of homes that are up, or down only for a short time
-	self := false
 	for _, candidate := range candidates {
 		if places >= count {
 			break
 		}
 		if candidate.Name() == r.config.Self {
-			self = true
+			mine = true
 			places++
 			list = append([]citronusher.Instance{candidate}, list...)
 			continue
@@ -104,10 +107,22 @@
 			places++
 		}
 	}
-	if !self {
+	if !mine {
 		list = append(list, citronusher.NewInstance(r.config.Self, "", "", citronusher.InstanceLive))
 	}
-	return list
+	return list, mine
+}
+
+// pause waits, and reports false when the relay closes.
+func (r *Relay) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.ctx.Done():
+		return false
+	}
 }
 
 // executor runs the tasks of one session wherever their group has a home.
@@ -124,26 +139,55 @@
 	return citronusher.SessionKey{Instance: e.relay.config.Self, Number: e.number}
 }
 
-// Execute runs a task. What did not run at one home is tried at the next one.
+// Execute runs a task. What did not run at one home is tried at the next one, and at all of them again for as long as
+// one of them may be able to serve it before its deadline.
 func (e *executor) Execute(task citronusher.Task) (citronusher.Completion, error) {
 	if task.Part == citronusher.PartNext {
 		return e.next(task)
 	}
+	tries := 0
+	for {
+		roundAt := e.relay.config.Timer.Instant().Add(roundLeast)
+		done, after, err := e.round(task, &tries)
+		now := e.relay.config.Timer.Instant()
+		if err == nil || after == 0 || now.Add(after) >= task.Deadline() || !e.relay.pause(roundAt.Sub(now)) {
+			if err != nil || done.Trace.Home != "" {
+				done.Trace.Tries = tries
+			}
+			return done, err
+		}
+		task.PatienceDeadline = min(task.Deadline(), now.Add(min(after, patience)))
+	}
+}
+
+// round tries a task at each home in turn. With an error that may be cured it returns after how long one of the homes
+// may be able to serve the task; 0 when there is no point in another round. The first home may wait until the task's
+// patience ends, the others answer at once. This daemon serves a group that it is no home of only when no home answers.
+func (e *executor) round(task citronusher.Task, tries *int) (citronusher.Completion, time.Duration, error) {
 	var done citronusher.Completion
 	var err error
-	tries := 0
-	for _, home := range e.relay.order(task.Route.Group) {
+	soonest, answers := time.Duration(0), 0
+	homes, mine := e.relay.order(task.Route.Group)
+	for _, home := range homes {
+		if answers >= roundMost || answers > 0 && !mine && home.Name() == e.relay.config.Self {
+			break
+		}
 		done, err = e.try(home, task)
-		tries += max(1, done.Trace.Tries)
+		*tries += max(1, done.Trace.Tries)
 		if err == nil || !elsewhere(err) || e.relay.config.Timer.Instant() >= task.Deadline() {
-			break
+			return done, 0, err
 		}
-		e.relay.config.Meter.Retried(citronusher.AsFailure(err).Reason())
-	}
-	if err != nil || done.Trace.Home != "" {
-		done.Trace.Tries = tries
+		failure := citronusher.AsFailure(err)
+		if failure.Reason() != citronusher.ReasonPeer && failure.Reason() != citronusher.ReasonLeaving {
+			answers++
+		}
+		if after := max(roundLeast, failure.After()); soonest == 0 || after < soonest {
+			soonest = after
+		}
+		e.relay.config.Meter.Retried(failure.Reason())
+		task.PatienceDeadline = 0
 	}
-	return done, err
+	return done, soonest, err
 }
 
 // elsewhere reports whether a task that failed at one home may be run at another one.
@@ -153,7 +197,8 @@
 		return false
 	}
 	switch failure.Reason() {
-	case citronusher.ReasonPeer, citronusher.ReasonHome, citronusher.ReasonLeaving, citronusher.ReasonPrimary, citronusher.ReasonClosed:
+	case citronusher.ReasonPeer, citronusher.ReasonHome, citronusher.ReasonLeaving, citronusher.ReasonPrimary,
+		citronusher.ReasonClosed, citronusher.ReasonConnect:
 		return true
 	default:
 		return false
--- a/targets/group.go
+++ b/targets/group.go
@@ -77,7 +77,7 @@
 	for _, report := range reports {
 		seen[report.ID] = true
 		g.takeReport(report, now)
-		g.members[report.ID].setShare(s.connections, s.homes)
+		g.members[report.ID].setShare(s.connections, s.homes, s.home)
 	}
 	for id, m := range g.members {
 		if seen[id] {
@@ -179,10 +179,14 @@
 	if g.needsPrimary(t) && !g.usablePrimary(now) {
 		back := max(backLeast, g.backAt.Sub(now)).Round(backLeast)
 		return citronusher.Refuse(citronusher.ReasonPrimary, "group %s has no usable primary now; try again in %d ms", g.name,
-			back.Milliseconds())
+			back.Milliseconds()).ComeBack(back)
+	}
+	if !place.Servable(g.candidates(now, t.Need()), t.Need()) {
+		return citronusher.Refuse(citronusher.ReasonConnect, "no member of group %s can serve now; try again in %d ms", g.name,
+			backLeast.Milliseconds()).ComeBack(backLeast)
 	}
 	return citronusher.Refuse(citronusher.ReasonQueue, "the members of group %s are busy; try again in %d ms", g.name,
-		backLeast.Milliseconds())
+		backLeast.Milliseconds()).ComeBack(backLeast)
 }
 
 // candidates describes the members for the choice. The caller holds mu.
--- a/targets/hold.go
+++ b/targets/hold.go
@@ -84,11 +84,14 @@
 	}
 }
 
-// hopeless reports whether the request needs a primary that is lost and not expected back before the request's
-// deadline. While only this daemon's links are cut requests wait: the cut may heal, and a caller that was refused at
-// once spends its retries in it. The caller holds mu.
+// hopeless reports whether no member can serve the request now and it may not wait for one, or needs a primary that is
+// lost and not expected back before the request's deadline. The caller holds mu.
 func (g *Group) hopeless(t *place.Ticket, now citronusher.Instant) bool {
-	return g.needsPrimary(t) && !g.usablePrimary(now) && g.lostAt != 0 && (now > g.backAt || t.Deadline() < g.backAt)
+	if place.Servable(g.candidates(now, t.Need()), t.Need()) {
+		return false
+	}
+	lost := g.needsPrimary(t) && g.lostAt != 0 && (now > g.backAt || t.Deadline() < g.backAt)
+	return lost || now >= t.Patience()
 }
 
 // usablePrimary reports whether requests may go to the primary now. The caller holds mu.
--- a/targets/member.go
+++ b/targets/member.go
@@ -59,8 +59,12 @@
 }
 
 // setShare divides the member's connections among the homes. A part stays free: the connections of daemons that
-// lost power linger, and their successors need some at once.
-func (m *member) setShare(connections, homes int) {
+// lost power linger, and their successors need some at once. A daemon that is no home takes one of that part.
+func (m *member) setShare(connections, homes int, home bool) {
+	if !home {
+		m.limit = 1
+		return
+	}
 	homes = max(1, homes)
 	m.limit = max(shareLeast, (connections-connections/shareDivisor)/homes)
 	m.limit = min(m.limit, max(1, connections/homes))
--- a/targets/move.go
+++ b/targets/move.go
@@ -25,6 +25,8 @@
 	moveSpan     = 1800 * time.Millisecond // in which a lost primary is usually replaced
 	aliveWindow  = 150 * time.Millisecond  // in which replicas that receive show that their primary lives
 	linkPatience = 1500 * time.Millisecond
+	// guestPatience is how long a daemon that is no home leaves a lost primary to the group's homes.
+	guestPatience = 2500 * time.Millisecond
 )
 
 // move is one promotion in progress.
@@ -48,6 +50,9 @@
 	}
 	primary := g.members[g.primary]
 	loss := succession.Loss{Since: g.lostAt, Refused: g.refused, Known: primary != nil && !g.right.Closed()}
+	if !g.home && now < loss.Since.Add(guestPatience) {
+		return
+	}
 	planned := primary != nil && primary.report.Leaving && !g.right.Closed() && g.right.Valid(now)
 	if !planned && !loss.Due(now) {
 		return
--- a/task.go
+++ b/task.go
@@ -47,6 +47,9 @@
 	ArrivedAt Instant
 	// BeganAt is when the transaction began.
 	BeganAt Instant
+	// PatienceDeadline is until when a home waits for a member that can serve while it can use none. Afterwards it
+	// refuses the statement at once, so that another home can be asked.
+	PatienceDeadline Instant
 }
 
 // Deadline returns when the statement must have started at a member.
