place: a long queue costs nothing while no member is free

Ruled out: the members (their groups' other homes served); the window alone (the queue grew at one home only). Change: Next asks nobody without room and stops when the last place is taken; requests for the primary are passed over while it is busy; nobody is hopeless while the primary can be used.

--- a/place/choose.go
+++ b/place/choose.go
@@ -52,6 +52,9 @@
 	return c.Busy < limit && c.Active < c.Window
 }
 
+// Free reports whether the candidate can take another request of some kind.
+func (c Candidate) Free() bool { return c.Usable && c.free(Need{}) }
+
 // Choose returns the candidate that serves the request now. Reads that replicas may serve leave the primary to the
 // requests that need it, unless it is idle or no replica can serve at all.
 func Choose(candidates []Candidate, need Need, t *Ticket) (Candidate, bool) {
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -43,7 +43,8 @@
 				continue
 			}
 			free := number(t, fields[3]) // at T free N
-			started, expired := q.Next(at(number(t, fields[1])), func(*place.Ticket) (string, bool) {
+			room := func() bool { return free > 0 }
+			started, expired := q.Next(at(number(t, fields[1])), room, func(*place.Ticket) (string, bool) {
 				free--
 				return "m", free >= 0
 			})
@@ -157,3 +158,29 @@
 		return out.String()
 	})
 }
+
+// TestLongQueueIsCheap plays a queue of a thousand requests before members that are all busy: nobody is asked, and with
+// one free place one request is. (Found on almandine-po-grown scale-2: a home whose queues were long spent all of its
+// processor time on choices that could not be made, and its queues grew for 10 s.)
+func TestLongQueueIsCheap(t *testing.T) {
+	var q place.Queue
+	for i := range 1000 {
+		q.Add(place.NewTicket(place.Need{Primary: true}, i%3, at(100), at(1000)))
+	}
+	asked, free := 0, 0
+	next := func() []place.Assignment {
+		started, _ := q.Next(at(1), func() bool { return free > 0 }, func(*place.Ticket) (string, bool) {
+			asked++
+			free--
+			return "m", true
+		})
+		return started
+	}
+	if started := next(); len(started) != 0 || asked != 0 {
+		t.Errorf("%d started, %d asked without room", len(started), asked)
+	}
+	free = 1
+	if started := next(); len(started) != 1 || asked != 1 || q.Len() != 999 {
+		t.Errorf("%d started, %d asked with room for one, %d wait", len(started), asked, q.Len())
+	}
+}
--- a/place/queue.go
+++ b/place/queue.go
@@ -111,25 +111,28 @@
 }
 
 // Next takes the requests out that can start now and those whose deadline has passed. start is called for each
-// request in turn and returns the member that it starts at, after it has counted the request there.
+// request in turn and returns the member that it starts at, after it has counted the request there. room reports
+// whether any member can take another request: without room nobody is asked, so that a long queue costs nothing.
 func (q *Queue) Next(
-	now citronusher.Instant, start func(t *Ticket) (member string, ok bool),
+	now citronusher.Instant, room func() bool, start func(t *Ticket) (member string, ok bool),
 ) (started []Assignment, expired []*Ticket) {
-	if len(q.tickets) == 0 {
-		return nil, nil
+	expired = q.Drop(func(t *Ticket) bool { return t.deadline <= now })
+	if len(q.tickets) == 0 || !room() {
+		return nil, expired
 	}
 	slices.SortStableFunc(q.tickets, func(a, b *Ticket) int { return a.before(b, now) })
 	kept := make([]*Ticket, 0, len(q.tickets))
-	for _, t := range q.tickets {
-		if t.deadline <= now {
-			expired = append(expired, t)
+	for i, t := range q.tickets {
+		member, ok := start(t)
+		if !ok {
+			kept = append(kept, t)
 			continue
 		}
-		if member, ok := start(t); ok {
-			started = append(started, Assignment{Ticket: t, Member: member})
-			continue
+		started = append(started, Assignment{Ticket: t, Member: member})
+		if !room() {
+			kept = append(kept, q.tickets[i+1:]...)
+			break
 		}
-		kept = append(kept, t)
 	}
 	q.tickets = kept
 	return started, expired
--- a/targets/group.go
+++ b/targets/group.go
@@ -150,7 +150,10 @@
 
 // dispatch starts the waiting requests that can start. The caller holds mu.
 func (g *Group) dispatch(now citronusher.Instant) {
-	started, expired := g.queue.Next(now, func(t *place.Ticket) (string, bool) {
+	started, expired := g.queue.Next(now, func() bool { return g.room(now) }, func(t *place.Ticket) (string, bool) {
+		if g.needsPrimary(t) && !g.roomAt(g.primary, now) {
+			return "", false
+		}
 		chosen, ok := place.Choose(g.candidates(now, t.Need()), t.Need(), t)
 		if ok {
 			g.members[chosen.Name].take(t.Need().Pinned)
@@ -166,6 +169,22 @@
 	}
 }
 
+// room reports whether any member can take another request. The caller holds mu.
+func (g *Group) room(now citronusher.Instant) bool {
+	for id := range g.members {
+		if g.roomAt(id, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// roomAt reports whether a member can take another request. The caller holds mu.
+func (g *Group) roomAt(id string, now citronusher.Instant) bool {
+	m, ok := g.members[id]
+	return ok && m.candidate(now, place.Need{}, id == g.primary, false).Free()
+}
+
 // answer gives a waiting request its grant. The caller holds mu.
 func (g *Group) answer(t *place.Ticket, result grant) {
 	if wait, ok := g.waits[t]; ok {
--- a/targets/hold.go
+++ b/targets/hold.go
@@ -87,7 +87,7 @@
 // hopeless reports whether no member can serve the request now and it may not wait for one, or needs a primary that is
 // lost and not expected back before the request's deadline. The caller holds mu.
 func (g *Group) hopeless(t *place.Ticket, now citronusher.Instant) bool {
-	if place.Servable(g.candidates(now, t.Need()), t.Need()) {
+	if g.usablePrimary(now) || place.Servable(g.candidates(now, t.Need()), t.Need()) {
 		return false
 	}
 	lost := g.needsPrimary(t) && g.lostAt != 0 && (now > g.backAt || t.Deadline() < g.backAt)
@@ -102,6 +102,9 @@
 
 // refuseHopeless refuses the waiting requests that cannot start before their deadline. The caller holds mu.
 func (g *Group) refuseHopeless(now citronusher.Instant) {
+	if g.usablePrimary(now) {
+		return // it can serve everybody
+	}
 	for _, t := range g.queue.Drop(func(t *place.Ticket) bool { return g.hopeless(t, now) }) {
 		g.answer(t, grant{err: g.refuse(t, now)})
 	}
