relay: a home in the daemon's own failure domain is asked first

Change: route.Order, as for PostgreSQL; the window is the member's slots and two more; the peer server logs through the daemon's logger.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -105,12 +105,12 @@
 	g.served = relay.NewServer(relay.ServerConfig{
 		Local: open, Idle: func() time.Duration { return g.plan().Idle }, Logger: g.logger,
 	})
-	g.peers, err = peer.NewGroupServer(s.Peer(), g, g.served, clock)
+	g.peers, err = peer.NewGroupServer(s.Peer(), g, g.served, clock, g.logger)
 	if err != nil {
 		return err
 	}
 	g.relay = relay.New(relay.Config{
-		Self: s.Name(), Local: open, Homes: g.targets.Homes, Carrier: g.caller, Timer: clock, Logger: g.logger, Meter: g.meter,
+		Self: s.Name(), Domain: s.Domain(), Local: open, Homes: g.targets.Homes, Carrier: g.caller, Timer: clock, Logger: g.logger, Meter: g.meter,
 	})
 	g.proxy, err = proxy.New(proxy.Config{
 		Address: s.Entry(), Protocol: func(conn net.Conn) citronusher.Caller { return line.NewCaller(conn) },
--- a/peer/group.go
+++ b/peer/group.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"syscall"
@@ -43,7 +44,7 @@
 
 // NewGroupServer starts listening at the IP:PORT address. tasks runs the statements that other daemons send.
 func NewGroupServer(
-	address string, handler GroupHandler, tasks citronusher.TaskHandler, timer citronusher.Timer,
+	address string, handler GroupHandler, tasks citronusher.TaskHandler, timer citronusher.Timer, logger *slog.Logger,
 ) (*GroupServer, error) {
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 	if err != nil {
@@ -57,7 +58,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	s.http = &http.Server{
 		Handler: mux, ReadHeaderTimeout: headerLimit, Protocols: &protocols,
-		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams}, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug),
 	}
 	s.serving.Go(func() error {
 		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/place/window.go
+++ b/place/window.go
@@ -9,8 +9,7 @@
 const (
 	windowCut   = 0.5                   // what is left of a window after a refusal
 	windowLeast = 1.0                   // statements
-	windowSpare = 2                     // statements beyond half of a member's slots
-	windowHalf  = 2                     // the part of a member's slots that one home may fill by itself
+	windowSpare = 2                     // statements beyond a member's slots, on their way there or back
 	busyPause   = 25 * time.Millisecond // before a member that was too busy gets another statement
 )
 
@@ -25,7 +24,7 @@
 }
 
 // most returns the size of a window that is fully open before a member with slots.
-func most(slots int) float64 { return float64(slots/windowHalf + windowSpare) }
+func most(slots int) float64 { return float64(slots + windowSpare) }
 
 // Size returns how many statements the home may have at a member with slots.
 func (w *Window) Size(slots int) int { return int(max(windowLeast, most(slots)-w.closed)) }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,6 +17,7 @@
 
 	"citronusher.example/citronusher"
 	"citronusher.example/citronusher/meter"
+	"citronusher.example/citronusher/route"
 )
 
 const (
@@ -34,8 +35,8 @@
 
 // Config holds what relaying needs from its daemon.
 type Config struct {
-	// Self names the daemon.
-	Self string
+	// Self names the daemon and Domain its failure domain.
+	Self, Domain string
 	// Local returns an executor of this daemon.
 	Local func() citronusher.Executor
 	// Homes returns daemons for a group, the best first, and how many of them are its homes.
@@ -81,9 +82,9 @@
 	return r.tasks.Wait()
 }
 
-// order returns the daemons that are asked to run a task, in turn: the homes that answer, then this daemon itself.
-// A home that has been silent for long is replaced by the next daemon in the group's order. mine is set when this daemon
-// is a home.
+// order returns the daemons that are asked to run a task, in turn: this one if it is a home, the homes that answer, near
+// ones first, and otherwise this daemon at last. A home that has been silent for long is replaced by the next daemon of
+// the group. mine is set when this daemon is a home.
 func (r *Relay) order(group string) (list []citronusher.Instance, mine bool) {
 	candidates, count := r.config.Homes(group)
 	now := r.config.Timer.Instant()
@@ -96,7 +97,7 @@
 		if candidate.Name() == r.config.Self {
 			mine = true
 			places++
-			list = append([]citronusher.Instance{candidate}, list...)
+			list = append(list, candidate)
 			continue
 		}
 		up, short := r.peer(candidate).state(now)
@@ -107,6 +108,7 @@
 			places++
 		}
 	}
+	list = route.Order(list, r.config.Self, r.config.Domain, r.config.Self, false)
 	if !mine {
 		list = append(list, citronusher.NewInstance(r.config.Self, "", "", citronusher.InstanceLive))
 	}
