relay: a home keeps to its own plan; a transaction that may have begun is not begun twice

Cause: found by reading. A home served whatever route another daemon sent, so that its machine could serve a route that its own newer plan had dropped, or one that its own callers were still told not to exist. A transaction whose first call to a home broke was begun at the next home while its first statement could still run in the first. Change: tasks carry the plan's version; a home refuses a dropped route (it does not exist) and one that it does not know yet (the next home is asked). What may have begun at a home ends as not run, and its caller decides.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,7 +103,7 @@
 	local := execute.Config{Targets: g.targets, Timer: clock, Logger: g.logger, Meter: g.meter}
 	open := func() citronusher.Executor { return execute.New(local) }
 	g.served = relay.NewServer(relay.ServerConfig{
-		Local: open, Idle: func() time.Duration { return g.plan().Idle }, Logger: g.logger,
+		Local: open, Plan: g.plan, Logger: g.logger,
 	})
 	g.peers, err = peer.NewGroupServer(s.Peer(), g, g.served, clock, g.logger)
 	if err != nil {
--- a/peer/task.go
+++ b/peer/task.go
@@ -170,7 +170,7 @@
 		Writes: t.Writes, Part: uint32(t.Part), ReadOnly: t.ReadOnly, Values: t.Values,
 		Prepared: &peerpb.Definition{Name: t.Prepared.Name, Shape: t.Prepared.Shape, Writes: t.Prepared.Writes},
 		Seen:     toPosition(t.Seen), Arrived: now.Sub(t.ArrivedAt).Microseconds(), Began: now.Sub(t.BeganAt).Microseconds(),
-		Patience: t.PatienceDeadline.Sub(now).Microseconds(),
+		Version: t.Version, Patience: t.PatienceDeadline.Sub(now).Microseconds(),
 	}
 }
 
@@ -186,7 +186,7 @@
 			ID: statement.GetId(), Kind: citronusher.StatementKind(statement.GetKind()), Name: statement.GetName(),
 			Value: statement.GetValue(), Writes: statement.GetWrites(), Text: statement.GetText(),
 		},
-		Writes: m.GetWrites(), Part: citronusher.Part(m.GetPart()), ReadOnly: m.GetReadOnly(), Values: m.GetValues(),
+		Version: m.GetVersion(), Writes: m.GetWrites(), Part: citronusher.Part(m.GetPart()), ReadOnly: m.GetReadOnly(), Values: m.GetValues(),
 		Prepared: citronusher.Definition{Name: prepared.GetName(), Shape: prepared.GetShape(), Writes: prepared.GetWrites()},
 		Seen:     fromPosition(m.GetSeen()), ArrivedAt: now.Add(-micros(m.GetArrived())), BeganAt: now.Add(-micros(m.GetBegan())),
 		PatienceDeadline: now.Add(micros(m.GetPatience())),
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -31,6 +31,7 @@
 // transaction is what the session's open transaction needs.
 type transaction struct {
 	route    citronusher.Route
+	version  uint64 // of the plan that the route is from
 	readOnly bool
 	beganAt  citronusher.Instant
 	held     bool // a member has begun it
@@ -39,7 +40,7 @@
 
 // part returns a statement's task as a part of the transaction.
 func (t *transaction) part(task citronusher.Task) citronusher.Task {
-	task.Route, task.ReadOnly, task.BeganAt = t.route, t.readOnly, t.beganAt
+	task.Route, task.Version, task.ReadOnly, task.BeganAt = t.route, t.version, t.readOnly, t.beganAt
 	task.Part = citronusher.PartFirst
 	if t.held {
 		task.Part = citronusher.PartNext
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -67,12 +67,15 @@
 	if s.state != citronusher.StateIdle {
 		return s.fail(citronusher.Refuse(citronusher.ReasonInput, "a transaction is open already"))
 	}
-	route, ok := s.proxy.config.Plan().Routes[s.database]
+	plan := s.proxy.config.Plan()
+	route, ok := plan.Routes[s.database]
 	if !ok {
 		return unknownDatabase(s.database)
 	}
 	s.state = citronusher.StateOpen
-	s.tx = transaction{route: route, readOnly: statement.Kind == citronusher.StatementBeginRead, beganAt: arrived}
+	s.tx = transaction{
+		route: route, version: plan.Version, readOnly: statement.Kind == citronusher.StatementBeginRead, beganAt: arrived,
+	}
 	return nil
 }
 
@@ -133,10 +136,12 @@
 	if s.state == citronusher.StateOpen {
 		return s.inTransaction(task)
 	}
-	var ok bool
-	if task.Route, ok = s.proxy.config.Plan().Routes[s.database]; !ok {
+	plan := s.proxy.config.Plan()
+	route, ok := plan.Routes[s.database]
+	if !ok {
 		return nil, unknownDatabase(s.database)
 	}
+	task.Route, task.Version = route, plan.Version
 	return s.execute(task)
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -226,8 +226,10 @@
 		return done, failure
 	}
 	done = citronusher.Completion{Seen: task.Seen, Trace: citronusher.Trace{Home: home.Name(), Group: task.Route.Group}}
-	if task.Part == citronusher.PartFirst {
+	if task.Part == citronusher.PartFirst && !errors.Is(err, citronusher.ErrUnreached) {
 		e.abandon()
+		return done, citronusher.Refuse(citronusher.ReasonGone,
+			"the connection to the group's home broke as the transaction began; nothing of it is kept")
 	}
 	lost := task.Writes && task.Part == citronusher.PartNone && !errors.Is(err, citronusher.ErrUnreached)
 	if lost {
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -19,8 +19,8 @@
 type ServerConfig struct {
 	// Local returns an executor of this daemon.
 	Local func() citronusher.Executor
-	// Idle returns how long a transaction may be idle.
-	Idle func() time.Duration
+	// Plan returns the plan in force.
+	Plan func() citronusher.Plan
 	// Logger receives the events.
 	Logger *slog.Logger
 }
@@ -53,6 +53,9 @@
 	if task.Part == citronusher.PartNext {
 		return s.next(key, task)
 	}
+	if err := s.allowed(task); err != nil {
+		return citronusher.Completion{Seen: task.Seen}, err
+	}
 	if !s.begin() {
 		return citronusher.Completion{Seen: task.Seen}, citronusher.Refuse(citronusher.ReasonLeaving, "the group's home is stopping")
 	}
@@ -69,6 +72,23 @@
 	return done, err
 }
 
+// allowed checks a task against this daemon's plan. A route that a newer plan has dropped is not served any more, and
+// one that a newer plan has added is not served before this daemon has that plan: its own callers would be told that the
+// route does not exist after a member has served it from here.
+func (s *Server) allowed(task citronusher.Task) error {
+	plan := s.config.Plan()
+	_, known := plan.Routes[task.Route.Name]
+	switch {
+	case known:
+		return nil
+	case plan.Version > task.Version:
+		return citronusher.Refuse(citronusher.ReasonDatabase, "database %s does not exist", task.Route.Name)
+	default:
+		return citronusher.Refuse(citronusher.ReasonHome, "the group's home has version %d of the configuration, not yet %d",
+			plan.Version, task.Version)
+	}
+}
+
 // begin counts a task unless the daemon is stopping.
 func (s *Server) begin() bool {
 	s.mu.Lock()
@@ -93,7 +113,7 @@
 	s.mu.Lock()
 	s.sessions[key] = r
 	s.mu.Unlock()
-	r.timer = time.AfterFunc(s.config.Idle()+idleGrace, func() { s.expire(key, r) })
+	r.timer = time.AfterFunc(s.config.Plan().Idle+idleGrace, func() { s.expire(key, r) })
 }
 
 // expire rolls a transaction back whose daemon has not sent anything for too long.
@@ -125,7 +145,7 @@
 		s.forget(key, r)
 		return done, err
 	}
-	r.timer.Reset(s.config.Idle() + idleGrace)
+	r.timer.Reset(s.config.Plan().Idle + idleGrace)
 	return done, nil
 }
 
--- a/task.go
+++ b/task.go
@@ -27,8 +27,9 @@
 
 // Task is one statement of a session with everything that decides how it is served.
 type Task struct {
-	// Route is the route that the session's daemon has in force.
-	Route Route
+	// Route is the route that the session's daemon has in force, and Version the version of its plan.
+	Route   Route
+	Version uint64
 	// Statement is what to run.
 	Statement Statement
 	// Writes is set when the statement may write.
