--- a/standin/users/group.go
+++ b/standin/users/group.go
@@ -160,13 +160,14 @@
 
 	mu      sync.Mutex
 	members []*Member
-	taken   int            // connections of each member that others hold
-	commits map[string]int // how often each statement's write was committed, by the caller's id
+	taken   int             // connections of each member that others hold
+	commits map[string]int  // how often each statement's write was committed, by the caller's id
+	late    map[string]bool // those that were committed by a member after another one led a later term
 }
 
 // AddGroup starts a group of so many members; the first leads.
 func (p *Platform) AddGroup(name string, count int) (*Group, error) {
-	g := &Group{platform: p, name: name, commits: map[string]int{}}
+	g := &Group{platform: p, name: name, commits: map[string]int{}, late: map[string]bool{}}
 	for i := range count {
 		m, err := newMember(g, fmt.Sprintf("i-%s-%d", name, i+1))
 		if err != nil {
@@ -235,6 +236,20 @@
 	return g.commits[id]
 }
 
+// Superseded reports whether the write of the statement id was committed by a member when another one led a later term.
+func (g *Group) Superseded(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.late[id]
+}
+
+// Value returns what the present primary holds for an item.
+func (g *Group) Value(item string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.primary().read(item)
+}
+
 // replicate passes commits on to the replicas.
 func (g *Group) replicate() {
 	ticker := time.NewTicker(replicateEvery)
--- a/standin/users/member.go
+++ b/standin/users/member.go
@@ -198,6 +198,11 @@
 		m.times = append(m.times, time.Now())
 	}
 	m.group.commits[id]++
+	for _, other := range m.group.members {
+		if other.role == rolePrimary && other.term > m.term {
+			m.group.late[id] = true
+		}
+	}
 }
 
 // memberSession is one connection to a member.
