--- a/soak/fault.go
+++ b/soak/fault.go
@@ -38,6 +38,7 @@
 
 var kinds = []Kind{
 	KindKill, KindStop, KindPause, KindCrash, KindReplica, KindDark, KindCut, KindDeaf, KindStore, KindThrottle, KindFeed,
+	KindAnswer, KindBreak, KindBusy, KindFail, KindRoute,
 }
 
 const (
@@ -98,6 +99,7 @@
 	switch f.Kind {
 	case KindKill, KindStop, KindPause:
 		return fmt.Sprintf("daemon %d", f.Subject)
+	case KindStore, KindThrottle, KindFeed:
 		return "store"
 	case KindRoute:
 		return "route"
