relay: a slow statement does not make its home look dead; soak: ports that no connection takes

Change: only a broken connection, or a home that answers no ping, counts; ports below the kernel's own range; a closing daemon ends what runs for others before it returns.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -268,6 +268,15 @@
 	}
 }
 
+// endServed ends what still runs for other daemons, whose connections to members are closed by now.
+func (g *Gateway) endServed() {
+	g.served.Leave()
+	g.served.Expire()
+	ctx, cancel := context.WithTimeout(context.Background(), forgetLimit)
+	defer cancel()
+	g.served.Drain(ctx)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -291,6 +300,9 @@
 		errs = append(errs, g.relay.Close())
 	}
 	errs = append(errs, g.targets.Close())
+	if g.served != nil {
+		g.endServed()
+	}
 	if g.peers != nil {
 		errs = append(errs, g.peers.Close())
 	}
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -138,8 +138,9 @@
 		if failure.Reason() == citronusher.ReasonLeaving {
 			p.leave(now)
 		}
-	default:
+	case ctx.Err() == nil || errors.Is(err, citronusher.ErrUnreached):
 		p.fail(err)
+	default: // the statement took too long, or was given up; the watch tells whether the daemon answers
 	}
 	return done, err
 }
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -18,22 +18,22 @@
 
 // The kinds of faults.
 const (
-	KindKill      Kind = "kill"       // a daemon is killed and starts again
-	KindStop      Kind = "stop"       // a daemon is asked to stop and starts again
-	KindPause     Kind = "pause"      // a daemon stands still
-	KindCrash     Kind = "crash"      // the primary crashes and starts again
-	KindReplica   Kind = "replica"    // a replica crashes and starts again
-	KindDark      Kind = "dark"       // the primary does not answer
-	KindCut       Kind = "cut"        // the primary is cut off from its replicas
-	KindDeaf      Kind = "deaf"       // a replica receives nothing
-	KindStore     Kind = "store"      // the store refuses every call
-	KindThrottle  Kind = "throttle"   // the store says that there are too many calls
-	KindFeed      Kind = "feed"       // feeds of the store hear of nothing
-	KindAnswer    Kind = "answer"     // the primary loses an answer
-	KindBreak     Kind = "break"      // the primary breaks a connection before a statement runs
-	KindBusy      Kind = "busy"       // the primary refuses statements
-	KindFail      Kind = "fail"       // a replica fails statements
-	KindRoute     Kind = "route"      // the configuration changes
+	KindKill     Kind = "kill"     // a daemon is killed and starts again
+	KindStop     Kind = "stop"     // a daemon is asked to stop and starts again
+	KindPause    Kind = "pause"    // a daemon stands still
+	KindCrash    Kind = "crash"    // the primary crashes and starts again
+	KindReplica  Kind = "replica"  // a replica crashes and starts again
+	KindDark     Kind = "dark"     // the primary does not answer
+	KindCut      Kind = "cut"      // the primary is cut off from its replicas
+	KindDeaf     Kind = "deaf"     // a replica receives nothing
+	KindStore    Kind = "store"    // the store refuses every call
+	KindThrottle Kind = "throttle" // the store says that there are too many calls
+	KindFeed     Kind = "feed"     // feeds of the store hear of nothing
+	KindAnswer   Kind = "answer"   // the primary loses an answer
+	KindBreak    Kind = "break"    // the primary breaks a connection before a statement runs
+	KindBusy     Kind = "busy"     // the primary refuses statements
+	KindFail     Kind = "fail"     // a replica fails statements
+	KindRoute    Kind = "route"    // the configuration changes
 )
 
 var kinds = []Kind{
--- a/soak/process.go
+++ b/soak/process.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -46,13 +47,23 @@
 	return p, nil
 }
 
+const (
+	portLeast = 10000
+	portMost  = 30000 // the kernel takes higher ones for outgoing connections
+	portTries = 100
+)
+
 // freePort returns a loopback address that nothing listens at.
 func freePort() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // closed at once
-	if err != nil {
-		return "", fmt.Errorf("free port: %w", err)
+	var err error
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", portLeast+rand.IntN(portMost-portLeast)) //nolint:gosec // any will do
+		var listener net.Listener
+		if listener, err = net.Listen("tcp", address); err == nil { //nolint:noctx // closed at once
+			return address, listener.Close()
+		}
 	}
-	return listener.Addr().String(), listener.Close()
+	return "", fmt.Errorf("free port: %w", err)
 }
 
 // start starts the process. Its output is added to its log.
