relay: homes that cannot serve a group are asked last for a moment

A daemon on the wrong side asked the same three homes in each round, itself first: 527 refusals with reason primary in 7 s, though three others served. Ruled out: the promotion (over 2.3 s after the cut); more answers in a round (they multiply the load while a primary is lost). Change: a home that could not serve a group is asked last for 300 ms, so that each round reaches other homes, and the next request goes to one that can serve at once.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,7 @@
 	patience      = 150 * time.Millisecond // for which one home waits for a member before the others are asked again
 	roundLeast    = 50 * time.Millisecond  // between two rounds of all homes
 	roundMost     = 3                      // homes that answer in one round
+	poorSpan      = 300 * time.Millisecond // for which a home that could not serve a group is asked last
 )
 
 // Config holds what relaying needs from its daemon.
@@ -61,12 +63,17 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
+	poor  map[place]citronusher.Instant // until when a home is asked last, because it could not serve its group
 }
 
+// place is a group at one of its homes.
+type place struct{ group, home string }
+
 // New returns a relay that knows nothing of other daemons yet.
 func New(config Config) *Relay {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Relay{config: config, ctx: ctx, cancel: cancel, peers: map[string]*peer{}}
+	r.poor = map[place]citronusher.Instant{}
 	r.sessions.Store(uint64(config.Timer.Instant())) //nolint:gosec // an instant is not negative
 	return r
 }
@@ -109,12 +116,41 @@
 		}
 	}
 	list = route.Order(list, r.config.Self, r.config.Domain, r.config.Self, false)
+	r.poorLast(group, list, now)
 	if !mine {
 		list = append(list, citronusher.NewInstance(r.config.Self, "", "", citronusher.InstanceLive))
 	}
 	return list, mine
 }
 
+// poorLast moves the homes that could not serve the group a moment ago behind the others.
+func (r *Relay) poorLast(group string, list []citronusher.Instance, now citronusher.Instant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.poor) == 0 {
+		return
+	}
+	rank := func(i citronusher.Instance) int {
+		if now < r.poor[place{group: group, home: i.Name()}] {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(list, func(a, b citronusher.Instance) int { return rank(a) - rank(b) })
+}
+
+// note records whether a home could serve a group.
+func (r *Relay) note(group string, home citronusher.Instance, served bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := place{group: group, home: home.Name()}
+	if served {
+		delete(r.poor, at)
+		return
+	}
+	r.poor[at] = r.config.Timer.Instant().Add(poorSpan)
+}
+
 // pause waits, and reports false when the relay closes.
 func (r *Relay) pause(d time.Duration) bool {
 	timer := time.NewTimer(d)
@@ -176,12 +212,16 @@
 		}
 		done, err = e.try(home, task)
 		*tries += max(1, done.Trace.Tries)
+		if err == nil {
+			e.relay.note(task.Route.Group, home, true)
+		}
 		if err == nil || !elsewhere(err) || e.relay.config.Timer.Instant() >= task.Deadline() {
 			return done, 0, err
 		}
 		failure := citronusher.AsFailure(err)
 		if failure.Reason() != citronusher.ReasonPeer && failure.Reason() != citronusher.ReasonLeaving {
 			answers++
+			e.relay.note(task.Route.Group, home, false)
 		}
 		if after := max(roundLeast, failure.After()); soonest == 0 || after < soonest {
 			soonest = after
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -17,8 +17,10 @@
 	"citronusher.example/citronusher/relay"
 )
 
-// limit is how long a statement may take in these tests.
-const limit = 200 * time.Millisecond
+const (
+	limit = 200 * time.Millisecond // for a statement
+	pause = 350 * time.Millisecond
+)
 
 var clock = citronusher.SystemClock{}
 
@@ -140,6 +142,9 @@
 		return ""
 	case "task":
 		return f.task(d)
+	case "pause": // until a home that could not serve is asked in its turn again
+		time.Sleep(pause)
+		return ""
 	case "rollback":
 		f.session.Rollback()
 		return f.told()
