follow: an empty list of members is taken over; an unchanged one is not digested again

Cause: found by reading the change. A daemon took a learnt list of members over only when it was not empty, so that its digest stayed another one than the reader's: each answer came at once, and each daemon asked 50 times a second. And each answer without news digested the whole unchanged list again. Ruled out: the empty list itself (a daemon that reads the store takes it over, too; groups keep their members then). Change: a list that was told is taken over; without news the one in force is listed again without a digest.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -80,8 +80,8 @@
 // New starts following.
 func New(config Config) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Follower{config: config, ctx: ctx, cancel: cancel, refresh: make(chan struct{}, 1), down: map[string]bool{}}
-	f.failedAt, f.changed = map[string]time.Time{}, make(chan struct{})
+	f := &Follower{config: config, ctx: ctx, cancel: cancel, refresh: make(chan struct{}, 1), changed: make(chan struct{})}
+	f.down, f.failedAt = map[string]bool{}, map[string]time.Time{}
 	f.plan.Store(&citronusher.Plan{})
 	f.tasks.Go(func() error { f.followPlan(); return nil })
 	f.tasks.Go(func() error { f.followMembers(); return nil })
@@ -235,6 +235,18 @@
 	f.members.Store(true)
 }
 
+// relist puts the members that are in force, if they have the digest, in force again as listed at listedAt: a member that
+// lists lack is dropped only when it has been missing for a while.
+func (f *Follower) relist(digest uint64, listedAt time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if digest == 0 || digest != f.digests.members || !listedAt.After(f.listedAt) {
+		return
+	}
+	f.listedAt = listedAt
+	f.config.Members(f.list)
+}
+
 func (f *Follower) followMembers() {
 	wait := time.Duration(0)
 	for f.awaitDirect() {
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -21,6 +21,7 @@
 	members   []citronusher.MemberReport
 	instances []citronusher.Instance
 	calls     int
+	questions int             // between daemons
 	cut       map[string]bool // daemons whose calls to the store are not answered
 	silent    map[string]bool // daemons that do not answer others
 	followers map[string]*Follower
@@ -123,6 +124,7 @@
 	ctx context.Context, instance citronusher.Instance, known citronusher.Known,
 ) (citronusher.Knowledge, error) {
 	v.world.mu.Lock()
+	v.world.questions++
 	silent, f := v.world.silent[instance.Name()], v.world.followers[instance.Name()]
 	v.world.mu.Unlock()
 	if silent || f == nil {
@@ -280,3 +282,24 @@
 		}
 	})
 }
+
+// TestWithoutMembers plays a store that lists no members at all, as after an outage in which every report expired: daemons
+// that learn from others keep one question open each, as ever. (Found by reading: the empty list was never taken over, so
+// that each answer came at once and each daemon asked 50 times a second.)
+func TestWithoutMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.members = []citronusher.MemberReport{}
+		w.start(20)
+		defer w.close(t)
+		time.Sleep(10 * time.Second)
+		w.set(func() { w.questions = 0 })
+		time.Sleep(12 * time.Second)
+		w.mu.Lock()
+		questions := w.questions
+		w.mu.Unlock()
+		if most := 20 * 12; questions > most {
+			t.Errorf("%d questions between 20 daemons in 12 s, expected %d at most", questions, most)
+		}
+	})
+}
--- a/follow/learn.go
+++ b/follow/learn.go
@@ -149,13 +149,11 @@
 	answeredAt := askedAt.Add(learnt.Held)
 	f.apply(learnt.Plan)
 	f.confirm(answeredAt.Add(-learnt.PlanAge))
-	f.mu.Lock()
-	if learnt.Members == nil && known.Members == f.digests.members {
-		learnt.Members = f.list
-	}
-	f.mu.Unlock()
-	if len(learnt.Members) > 0 {
-		f.setMembers(learnt.Members, answeredAt.Add(-learnt.MembersAge))
+	listedAt := answeredAt.Add(-learnt.MembersAge)
+	if learnt.Members != nil {
+		f.setMembers(learnt.Members, listedAt)
+	} else {
+		f.relist(known.Members, listedAt)
 	}
 	if len(learnt.Instances) > 0 {
 		f.setInstances(learnt.Instances)
