--- a/peer/client.go
+++ b/peer/client.go
@@ -169,7 +169,7 @@
 	return io.ReadAll(io.LimitReader(reader, maxBody))
 }
 
-// Pack compresses a document for Fetch.
+// Pack compresses a document for another daemon.
 func Pack(body []byte) ([]byte, error) {
 	var packed bytes.Buffer
 	writer := gzip.NewWriter(&packed)
--- a/peer/encoding.go
+++ b/peer/encoding.go
@@ -1,11 +1,8 @@
 package peer
 
 import (
-	"bytes"
-	"compress/gzip"
 	"encoding/json"
 	"fmt"
-	"io"
 	"sync"
 
 	"citronusher.example/citronusher"
@@ -57,24 +54,20 @@
 
 // compress encodes a value as JSON and compresses it.
 func compress(value any) ([]byte, error) {
-	var body bytes.Buffer
-	writer := gzip.NewWriter(&body)
-	if err := json.NewEncoder(writer).Encode(value); err != nil {
+	body, err := json.Marshal(value)
+	if err != nil {
 		return nil, fmt.Errorf("encode: %w", err)
 	}
-	if err := writer.Close(); err != nil {
-		return nil, fmt.Errorf("compress: %w", err)
-	}
-	return body.Bytes(), nil
+	return Pack(body)
 }
 
 // expand decodes what compress encoded. Its error wraps ErrInvalid.
-func expand(body []byte, into any) error {
-	reader, err := gzip.NewReader(bytes.NewReader(body))
+func expand(packed []byte, into any) error {
+	body, err := unpack(packed)
 	if err != nil {
 		return fmt.Errorf("%w: %w", citronusher.ErrInvalid, err)
 	}
-	if err := json.NewDecoder(io.LimitReader(reader, maxBody)).Decode(into); err != nil {
+	if err := json.Unmarshal(body, into); err != nil {
 		return fmt.Errorf("%w: %w", citronusher.ErrInvalid, err)
 	}
 	return nil
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -103,8 +103,8 @@
 		s.proxy.config.Meter.Failed(failure)
 		return s.caller.Reject(failure)
 	}
-	if _, ok := s.proxy.config.Plan().Routes[database]; !ok {
-		failure := unknownDatabase(database)
+	if _, _, err := s.route(); err != nil {
+		failure := citronusher.AsFailure(err)
 		s.proxy.config.Meter.Failed(failure)
 		return s.caller.Reject(failure)
 	}
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -63,18 +63,27 @@
 	}
 }
 
+// route returns the session's route in force and the version of its plan.
+func (s *session) route() (citronusher.Route, uint64, error) {
+	plan := s.proxy.config.Plan()
+	route, ok := plan.Routes[s.database]
+	if !ok {
+		return route, plan.Version, unknownDatabase(s.database)
+	}
+	return route, plan.Version, nil
+}
+
 func (s *session) begin(statement citronusher.Statement, arrived citronusher.Instant) error {
 	if s.state != citronusher.StateIdle {
 		return s.fail(citronusher.Refuse(citronusher.ReasonInput, "a transaction is open already"))
 	}
-	plan := s.proxy.config.Plan()
-	route, ok := plan.Routes[s.database]
-	if !ok {
-		return unknownDatabase(s.database)
+	route, version, err := s.route()
+	if err != nil {
+		return err
 	}
 	s.state = citronusher.StateOpen
 	s.tx = transaction{
-		route: route, version: plan.Version, readOnly: statement.Kind == citronusher.StatementBeginRead, beganAt: arrived,
+		route: route, version: version, readOnly: statement.Kind == citronusher.StatementBeginRead, beganAt: arrived,
 	}
 	return nil
 }
@@ -136,12 +145,10 @@
 	if s.state == citronusher.StateOpen {
 		return s.inTransaction(task)
 	}
-	plan := s.proxy.config.Plan()
-	route, ok := plan.Routes[s.database]
-	if !ok {
-		return nil, unknownDatabase(s.database)
+	var err error
+	if task.Route, task.Version, err = s.route(); err != nil {
+		return nil, err
 	}
-	task.Route, task.Version = route, plan.Version
 	return s.execute(task)
 }
 
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -84,15 +84,8 @@
 // awaitBack pings the daemon until it answers.
 func (p *peer) awaitBack() {
 	pause := pauseLeast
-	for p.relay.ctx.Err() == nil {
-		timer := time.NewTimer(pause)
-		select {
-		case <-timer.C:
-		case <-p.relay.ctx.Done():
-			timer.Stop()
-			return
-		}
-		if p.ping() == nil {
+	for {
+		if !p.relay.pause(pause) || p.ping() == nil {
 			return
 		}
 		pause = min(pauseMost, pause*2) //nolint:mnd // doubled
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -72,8 +73,9 @@
 // New returns a relay that knows nothing of other daemons yet.
 func New(config Config) *Relay {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Relay{config: config, ctx: ctx, cancel: cancel, peers: map[string]*peer{}}
-	r.poor = map[place]citronusher.Instant{}
+	r := &Relay{
+		config: config, ctx: ctx, cancel: cancel, peers: map[string]*peer{}, poor: map[place]citronusher.Instant{},
+	}
 	r.sessions.Store(uint64(config.Timer.Instant())) //nolint:gosec // an instant is not negative
 	return r
 }
@@ -139,8 +141,8 @@
 	slices.SortStableFunc(list, func(a, b citronusher.Instance) int { return rank(a) - rank(b) })
 }
 
-// note records whether a home could serve a group.
-func (r *Relay) note(group string, home citronusher.Instance, served bool) {
+// noteServed records whether a home could serve a group.
+func (r *Relay) noteServed(group string, home citronusher.Instance, served bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	at := place{group: group, home: home.Name()}
@@ -148,7 +150,9 @@
 		delete(r.poor, at)
 		return
 	}
-	r.poor[at] = r.config.Timer.Instant().Add(poorSpan)
+	now := r.config.Timer.Instant()
+	maps.DeleteFunc(r.poor, func(_ place, until citronusher.Instant) bool { return until <= now })
+	r.poor[at] = now.Add(poorSpan)
 }
 
 // pause waits, and reports false when the relay closes.
@@ -213,7 +217,7 @@
 		done, err = e.try(home, task)
 		*tries += max(1, done.Trace.Tries)
 		if err == nil {
-			e.relay.note(task.Route.Group, home, true)
+			e.relay.noteServed(task.Route.Group, home, true)
 		}
 		if err == nil || !elsewhere(err) || e.relay.config.Timer.Instant() >= task.Deadline() {
 			return done, 0, err
@@ -221,7 +225,7 @@
 		failure := citronusher.AsFailure(err)
 		if failure.Reason() != citronusher.ReasonPeer && failure.Reason() != citronusher.ReasonLeaving {
 			answers++
-			e.relay.note(task.Route.Group, home, false)
+			e.relay.noteServed(task.Route.Group, home, false)
 		}
 		if after := max(roundLeast, failure.After()); soonest == 0 || after < soonest {
 			soonest = after
@@ -252,9 +256,7 @@
 	e.held, e.wrote = false, false
 	e.at, e.number = home, e.relay.sessions.Add(1)
 	if home.Name() == e.relay.config.Self {
-		done, err := e.local.Execute(task)
-		e.note(task, done, err)
-		return done, err
+		return e.here(task)
 	}
 	done, err := e.relay.carry(home, e.key(), task)
 	e.note(task, done, err)
@@ -279,6 +281,13 @@
 	return done, citronusher.Refuse(citronusher.ReasonPeer, "the group's home does not answer: %v", err)
 }
 
+// here runs a task at this daemon.
+func (e *executor) here(task citronusher.Task) (citronusher.Completion, error) {
+	done, err := e.local.Execute(task)
+	e.note(task, done, err)
+	return done, err
+}
+
 // note records whether a transaction is open after a task.
 func (e *executor) note(task citronusher.Task, done citronusher.Completion, err error) {
 	e.held = err == nil && task.Part != citronusher.PartNone && done.Answer.State != citronusher.StateIdle
@@ -288,9 +297,7 @@
 // next runs a later part of the open transaction where the transaction is.
 func (e *executor) next(task citronusher.Task) (citronusher.Completion, error) {
 	if e.at.Name() == e.relay.config.Self {
-		done, err := e.local.Execute(task)
-		e.note(task, done, err)
-		return done, err
+		return e.here(task)
 	}
 	wrote := e.wrote
 	done, err := e.relay.carry(e.at, e.key(), task)
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -124,20 +124,23 @@
 	}
 }
 
+// rolledBack says that the home has ended a transaction that was not committed.
+func rolledBack() *citronusher.Failure {
+	return citronusher.Refuse(citronusher.ReasonGone, "the transaction was rolled back at its home; nothing of it is kept")
+}
+
 // next runs a later part of an open transaction.
 func (s *Server) next(key citronusher.SessionKey, task citronusher.Task) (citronusher.Completion, error) {
 	s.mu.Lock()
 	r := s.sessions[key]
 	s.mu.Unlock()
 	if r == nil {
-		return citronusher.Completion{Seen: task.Seen}, citronusher.Refuse(citronusher.ReasonGone,
-			"the transaction was rolled back at its home; nothing of it is kept")
+		return citronusher.Completion{Seen: task.Seen}, rolledBack()
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.ended {
-		return citronusher.Completion{Seen: task.Seen}, citronusher.Refuse(citronusher.ReasonGone,
-			"the transaction was rolled back at its home; nothing of it is kept")
+		return citronusher.Completion{Seen: task.Seen}, rolledBack()
 	}
 	r.timer.Stop()
 	done, err := r.executor.Execute(task)
--- a/targets/homes.go
+++ b/targets/homes.go
@@ -36,24 +36,27 @@
 	return len(h.list) > 0
 }
 
-// count returns how many homes a group has whose members take connections each, and whether self is one.
-func (h *homes) count(group string, connections int, self string) (int, bool) {
-	list := h.candidates(group)
+// of returns the daemons that serve a group whose members take connections each, the best first, and how many of them
+// are its homes; the others may take the place of one.
+func (h *homes) of(group string, connections int) (list []citronusher.Instance, count int) {
 	h.mu.Lock()
-	count := route.Count(connections, len(h.list), h.domains)
-	h.mu.Unlock()
-	for _, instance := range list[:min(count, len(list))] {
-		if instance.Name() == self {
-			return count, true
-		}
-	}
-	return count, false
+	defer h.mu.Unlock()
+	return h.rank(group), route.Count(connections, len(h.list), h.domains)
 }
 
-// candidates returns the daemons that serve a group, the best first: its homes and some that may take their place.
-func (h *homes) candidates(group string) []citronusher.Instance {
+// first returns the first home of a group; false while the daemons are not known.
+func (h *homes) first(group string) (citronusher.Instance, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	list := h.rank(group)
+	if len(list) == 0 {
+		return citronusher.Instance{}, false
+	}
+	return list[0], true
+}
+
+// rank returns the daemons in the order in which they serve a group. The caller holds mu.
+func (h *homes) rank(group string) []citronusher.Instance {
 	list, ok := h.ranked[group]
 	if !ok && len(h.list) > 0 {
 		list = route.Homes(group, h.list, route.MostHomes+spareHomes)
--- a/targets/set.go
+++ b/targets/set.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -88,11 +89,8 @@
 
 // prober returns the daemon that renews the right to a group for the others, and whether that is another one than this.
 func (s *Set) prober(group string) (citronusher.Instance, bool) {
-	first := s.homes.candidates(group)
-	if len(first) == 0 || first[0].Name() == s.config.Self {
-		return citronusher.Instance{}, false
-	}
-	return first[0], true
+	first, ok := s.homes.first(group)
+	return first, ok && first.Name() != s.config.Self
 }
 
 // Renewed tells another daemon how long ago a replica was asked that renewed the right to a group's primary of a term.
@@ -131,9 +129,9 @@
 		byGroup[report.Group] = append(byGroup[report.Group], report)
 	}
 	for name, plan := range s.plan.Groups {
-		count, mine := s.homes.count(name, plan.Connections, s.config.Self)
-		if s.groups[name] != nil || mine {
-			s.open(name).configure(share{connections: plan.Connections, homes: count, home: mine}, byGroup[name])
+		part := s.share(plan)
+		if s.groups[name] != nil || part.home {
+			s.open(name).configure(part, byGroup[name])
 		}
 	}
 	for name, g := range s.groups {
@@ -144,6 +142,15 @@
 	}
 }
 
+// share returns this daemon's part in a group.
+func (s *Set) share(plan citronusher.GroupPlan) share {
+	list, count := s.homes.of(plan.Name, plan.Connections)
+	mine := slices.ContainsFunc(list[:min(count, len(list))], func(i citronusher.Instance) bool {
+		return i.Name() == s.config.Self
+	})
+	return share{connections: plan.Connections, homes: count, home: mine}
+}
+
 // open returns the group called name, which is served from now on. The caller holds mu.
 func (s *Set) open(name string) *Group {
 	g := s.groups[name]
@@ -184,16 +191,10 @@
 	if !ok || s.ctx.Err() != nil {
 		return nil, false
 	}
-	var reports []citronusher.MemberReport
-	for _, report := range s.reports {
-		if report.Group == name {
-			reports = append(reports, report)
-		}
-	}
-	count, mine := s.homes.count(name, plan.Connections, s.config.Self)
+	reports := slices.DeleteFunc(slices.Clone(s.reports), func(r citronusher.MemberReport) bool { return r.Group != name })
 	g := s.open(name)
 	g.wanted()
-	g.configure(share{connections: plan.Connections, homes: count, home: mine}, reports)
+	g.configure(s.share(plan), reports)
 	return g, true
 }
 
@@ -203,8 +204,7 @@
 	s.mu.Lock()
 	connections := s.plan.Groups[group].Connections
 	s.mu.Unlock()
-	count, _ := s.homes.count(group, connections, s.config.Self)
-	return s.homes.candidates(group), count
+	return s.homes.of(group, connections)
 }
 
 // Close closes every connection and waits for what runs in the background.
