standin/users: the store can come back from a copy

In a drill the users' store comes back from a copy some seconds old: what the system wrote since is gone, the version counter goes back and gives out its versions again, what operators and members wrote is written again, and the header Store-Era, in all answers, rises by one. The stand-in could not do that, so no test could show what daemons make of it.

A feed request after a version that the store has not reached gets 410, and open feed requests are cut at a restore. The scripts have the actions store-copy and store-restore. No change outside tests and the stand-in.

--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -307,6 +307,10 @@
 		s.member(fields[1]).SetPartitioned(true)
 	case "store":
 		s.platform.Fail(s.number(fields[1]))
+	case "store-copy":
+		s.platform.Copy()
+	case "store-restore":
+		s.platform.Restore()
 	case "part-down":
 		s.platform.FailPart(strings.Join(fields[1:], " "))
 	case "deaf-feeds":
--- a/standin/users/group.go
+++ b/standin/users/group.go
@@ -84,7 +84,7 @@
 			if m.draining {
 				state = "draining"
 			}
-			p.Put("servers", m.id, map[string]any{
+			p.Put(tableMembers, m.id, map[string]any{
 				"Service": g.name, "Address": m.address, "Zone": "zone", "Capacity": p.options.Slots, "State": state,
 				"CurrentRole": m.role, "born": m.born,
 			})
@@ -136,7 +136,7 @@
 	for name := range p.groups {
 		services = append(services, map[string]any{"Name": name, "MaxConnections": p.options.Connections})
 	}
-	p.Put("op", "config", map[string]any{
+	p.Put(tableOperator, "config", map[string]any{
 		"Version": p.version, "Routes": routes, "Services": services, "Limits": map[string]any{"TxIdleMs": 700},
 	})
 }
--- a/standin/users/store.go
+++ b/standin/users/store.go
@@ -14,6 +14,12 @@
 	"time"
 )
 
+// The tables of operators and members; daemons write the others.
+const (
+	tableOperator = "op"
+	tableMembers  = "servers"
+)
+
 // row is one row of the store.
 type row struct {
 	Table   string `json:"Table"`
@@ -45,6 +51,10 @@
 	mu              sync.Mutex
 	rows            map[string]row
 	version         uint64
+	era             uint64
+	copied          storeCopy
+	lost            []row         // rows of operators and members that a restore has lost and that are to be written again
+	restored        chan struct{} // closed and replaced at each restore
 	changed         chan struct{}
 	unavailablePart string // TABLE/PART whose calls fail with 503; empty for none
 	failStatus      int    // HTTP status of every call but /promote; 0 for normal operation
@@ -56,6 +66,7 @@
 // NewStore starts a store without rows.
 func NewStore() *Store {
 	s := &Store{rows: map[string]row{}, changed: make(chan struct{}), startedAt: time.Now()}
+	s.era, s.copied.rows, s.restored = 1, map[string]row{}, make(chan struct{})
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /rows-get", s.serveGet)
 	mux.HandleFunc("POST /rows-tx", s.serveTx)
@@ -107,6 +118,7 @@
 func (s *Store) withFaults(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
+		s.writeEra(w)
 		status := s.failStatus
 		s.mu.Unlock()
 		if status != 0 && r.URL.Path != "/promote" {
@@ -151,6 +163,7 @@
 
 // writePage writes a response with rows. The caller must hold s.mu.
 func (s *Store) writePage(w http.ResponseWriter, status int, rows []row) {
+	s.writeEra(w)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	body := page{Rows: rows, Version: s.version, Millis: time.Since(s.startedAt).Milliseconds()}
@@ -179,7 +192,8 @@
 	s.writePage(w, http.StatusOK, rows)
 }
 
-// serveFeed returns the changes after a version, and waits up to WaitMs milliseconds for the first one.
+// serveFeed returns the changes after a version, and waits up to WaitMs milliseconds for the first one. A version that the
+// store has not reached since a restore is answered with 410.
 func (s *Store) serveFeed(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
@@ -190,10 +204,19 @@
 	}
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	s.mu.Lock()
-	stalled := s.feedsStalled
+	stalled, restored := s.feedsStalled, s.restored
+	if after > s.version {
+		s.writePage(w, http.StatusGone, nil)
+		s.mu.Unlock()
+		return
+	}
 	s.mu.Unlock()
 	for {
 		s.mu.Lock()
+		if s.restored != restored {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler) // closes the connection
+		}
 		rows := s.changesAfter(q.Get("Table"), after)
 		changed := s.changed
 		if len(rows) > 0 && !stalled {
@@ -204,6 +227,7 @@
 		s.mu.Unlock()
 		select {
 		case <-changed:
+		case <-restored:
 		case <-r.Context().Done():
 			return
 		case <-deadline:
