platform/store, events: a change of the store's era is logged

The client now keeps the era of the newest response; event 208 logs each change, and event 404 has the era. No decision changes.

--- a/events/events.go
+++ b/events/events.go
@@ -21,6 +21,7 @@
 	RowSkipped           Event = 205
 	SettingsReloaded     Event = 206
 	SettingsRejected     Event = 207
+	StoreRestored        Event = 208
 	InstanceChanged      Event = 301
 	PeerFailed           Event = 302
 	PeerRecovered        Event = 303
@@ -80,6 +81,7 @@
 	RowSkipped:           {slog.LevelWarn, "row cannot be decoded and is skipped"},
 	SettingsReloaded:     {slog.LevelInfo, "settings were reloaded"},
 	SettingsRejected:     {slog.LevelError, "settings failed their checks or could not be read; the previous ones stay active"},
+	StoreRestored:        {slog.LevelWarn, "store returned from an older copy: what was written since is lost"},
 	InstanceChanged:      {slog.LevelInfo, "instances changed"},
 	PeerFailed:           {slog.LevelWarn, "request to a peer failed"},
 	PeerRecovered:        {slog.LevelInfo, "peer responds again"},
--- a/plan.go
+++ b/plan.go
@@ -78,6 +78,15 @@
 	BornMillis int64
 }
 
+// StoreEra is a span of time in which the store loses nothing that it acknowledged. An era ends when the store returns from
+// an older copy: what was written since the copy is gone, and versions are given out again.
+type StoreEra struct {
+	// Number increases by one with each era; 0 when the store has no eras.
+	Number uint64
+	// SeenAt is when this daemon received the first response of the era. The era began earlier.
+	SeenAt Instant
+}
+
 // Claim is a daemon's exclusive permission to promote a member of a group. It is a row in the store.
 type Claim struct {
 	// Holder names the daemon.
@@ -93,6 +102,8 @@
 // Store is the platform's service that keeps plans, member reports and claims. Its errors wrap ErrUnavailable,
 // ErrConflict or ErrNotFound.
 type Store interface {
+	// Era returns the store's newest era that any response has carried.
+	Era() StoreEra
 	// Plan returns the newest plan and the store's version of it.
 	Plan(ctx context.Context) (Plan, uint64, error)
 	// WaitForPlan waits for a plan that is newer than the store's version after. found is false when none appeared.
--- a/targets/promote.go
+++ b/targets/promote.go
@@ -98,7 +98,7 @@
 		return reason
 	}
 	events.Log(m.group.set.config.Logger, events.Promoting, "group", m.group.name, "primary", m.primary, "term", m.term,
-		"planned", m.planned, "token", m.claim.Token)
+		"planned", m.planned, "token", m.claim.Token, "era", m.group.set.config.Store.Era().Number)
 	if m.planned {
 		m.stepDown()
 	}
