promotion, platform/store: a claim excludes others although the store lost it

Cause: the claim on a group was exclusive only because the store kept it, and its token, the version of its row, rose only because versions rise. A store that returns from an older copy loses the claim of a promotion that runs and gives its versions out again. The next daemon claimed the group at once, with the same token, or found the primary still leading and resumed the replicas that the first one had paused; they renewed leases, and then the first promotion took effect. The class: what the store acknowledged was taken for lasting beyond the store's era.

Ruled out by the logs: a replica that forgot its pause in a restart, and one that had not heard of the promotion (no restart, and the resumed replicas follow event 418 of the second claimant).

Change: a claim records the era in which it was written. A claim of an earlier era, or none, no longer shows that nobody promotes: the group is claimed 4 s after the new era was first seen, when each lost claim has ended; a promotion is requested within 2.2 s of its claim. A claim that arrives in another era than its own is not used. Callers who need the primary meanwhile get the time of that wait as their retry delay, unless a promotion is known to run.

--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -7,6 +7,8 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,6 +35,8 @@
 	group    *users.Group
 	daemons  []*gateway.Gateway
 	callers  map[string]*users.Caller
+	writes   sync.WaitGroup
+	written  atomic.Bool // the last write beside other actions succeeded
 }
 
 // TestScripts runs the scenarios in testdata. The first lines of each file state what it checks.
@@ -158,13 +162,21 @@
 
 // waitUntil waits until condition holds, and fails the test after waitTimeout.
 func (s *script) waitUntil(what string, condition func() bool) {
+	if !waitFor(condition) {
+		s.t.Fatalf("timed out waiting for: %s", what)
+	}
+}
+
+// waitFor waits until condition holds. It reports false after waitTimeout.
+func waitFor(condition func() bool) bool {
 	deadline := time.Now().Add(waitTimeout)
 	for !condition() {
 		if time.Now().After(deadline) {
-			s.t.Fatalf("timed out waiting for: %s", what)
+			return false
 		}
 		time.Sleep(time.Millisecond)
 	}
+	return true
 }
 
 // openSessions opens sessions: each line is a session name, a daemon's number and a database.
@@ -348,13 +360,19 @@
 	case "await-released": // until a promotion was attempted and the member's replication is resumed
 		m := s.member(fields[1])
 		s.waitUntil("released", func() bool { return s.group.Pauses() > 0 && m.PausedTerm() == 0 })
+	case "await-orders": // until so many promotions were requested
+		s.waitUntil("orders", func() bool { return len(s.platform.PromotionRequests()) >= s.number(fields[1]) })
 	case "await-ready":
 		s.waitUntil("ready", s.daemons[s.number(fields[1])-1].Ready)
 	case "await-write": // until a session's writes succeed again
-		s.waitUntil("write", func() bool {
-			a, err := s.callers[fields[1]].Query("WRITE probe x")
-			return err == nil && a.Code == ""
-		})
+		s.waitUntil("write", func() bool { return s.write(fields[1]) })
+	case "begin-write": // as await-write, beside the actions up to end-write
+		s.writes.Go(func() { s.written.Store(waitFor(func() bool { return s.write(fields[1]) })) })
+	case "end-write":
+		s.writes.Wait()
+		if !s.written.Load() {
+			s.t.Fatal("timed out waiting for: write")
+		}
 	case "ready":
 		return strconv.FormatBool(s.daemons[s.number(fields[1])-1].Ready())
 	case "commits":
@@ -371,6 +389,12 @@
 	return ""
 }
 
+// write reports whether a write of the session succeeds.
+func (s *script) write(session string) bool {
+	a, err := s.callers[session].Query("WRITE probe x")
+	return err == nil && a.Code == ""
+}
+
 // promotionRequests returns the number of requested promotions, and whether the token increased with each change of holder.
 func (s *script) promotionRequests() string {
 	orders := s.platform.PromotionRequests()
--- a/plan.go
+++ b/plan.go
@@ -91,8 +91,10 @@
 type Claim struct {
 	// Holder names the daemon.
 	Holder string
-	// Token increases with each claim of any group.
+	// Token increases with each claim of any group, through all eras of the store.
 	Token uint64
+	// Era is the number of the store's era in which the claim was written; 0 without a claim.
+	Era uint64
 	// EndMillis is when the claim ends, in milliseconds of the store's clock.
 	EndMillis int64
 	// StoreMillis is the store's clock when it responded, in milliseconds.
--- a/promotion/promotion.go
+++ b/promotion/promotion.go
@@ -1,7 +1,8 @@
 // Package promotion decides how a group's primary is replaced: which daemon may do it, when, and which member is promoted.
 //
 // One daemon at a time holds the claim on a group, a row in the platform's store that is written conditionally. The
-// claim's token increases with each claim. The holder pauses replication at every replica, so that no lease on the old
+// claim's token increases with each claim. When the store has returned from an older copy, claims may be lost; daemons then
+// wait until every lost claim has ended. The holder pauses replication at every replica, so that no lease on the old
 // primary is renewed any more, asks every daemon to release its lease, and waits until the leases of the daemons that did
 // not respond have expired. It requests the promotion early in its claim, so that the promotion has taken effect before
 // another daemon can claim the group. The package does no I/O and starts no goroutines.
@@ -53,14 +54,27 @@
 	return now >= o.DetectedAt.Add(delay)
 }
 
-// Claimable reports whether self may replace claim: self holds it, or it has ended by the store's clock.
-func Claimable(claim citronusher.Claim, self string) bool {
-	return claim.Holder == self || claim.EndMillis <= claim.StoreMillis
+// ClaimableAt returns the earliest time at which self may replace the claim that was read from the store in era: at once
+// when self holds it or it has ended by the store's clock. A claim that was not written in that era, or no claim, does not
+// show which claims the store lost before the era. The last of them ends at most ClaimTTL after the era was seen.
+func ClaimableAt(
+	read citronusher.Claim, era citronusher.StoreEra, self string, now citronusher.Instant,
+) citronusher.Instant {
+	switch {
+	case read.Era != era.Number:
+		return max(now, era.SeenAt.Add(ClaimTTL))
+	case read.Holder == self:
+		return now
+	default:
+		return now.Add(time.Duration(max(0, read.EndMillis-read.StoreMillis)) * time.Millisecond)
+	}
 }
 
-// NextClaim returns the claim by which self replaces the one that was read.
-func NextClaim(read citronusher.Claim, self string) citronusher.Claim {
-	return citronusher.Claim{Holder: self, EndMillis: read.StoreMillis + ClaimTTL.Milliseconds()}
+// NextClaim returns the claim by which self replaces the one that was read from the store in era.
+func NextClaim(read citronusher.Claim, era citronusher.StoreEra, self string) citronusher.Claim {
+	return citronusher.Claim{
+		Holder: self, Era: era.Number, EndMillis: read.StoreMillis + ClaimTTL.Milliseconds(),
+	}
 }
 
 // RequestDeadline returns the time until which a daemon may request a promotion under a claim, when the read request for the
--- a/promotion/promotion_test.go
+++ b/promotion/promotion_test.go
@@ -41,16 +41,21 @@
 // TestClaimsExclude checks that another daemon can replace a claim only after its end, and that a promotion that is
 // requested in time takes effect before that. Otherwise two daemons could promote different members.
 func TestClaimsExclude(t *testing.T) {
-	claim := promotion.NextClaim(citronusher.Claim{StoreMillis: 1000}, "d1")
+	const now = citronusher.Instant(7)
+	era := citronusher.StoreEra{Number: 1, SeenAt: 3}
+	claimable := func(claim citronusher.Claim, self string) bool {
+		return promotion.ClaimableAt(claim, era, self, now) <= now
+	}
+	claim := promotion.NextClaim(citronusher.Claim{StoreMillis: 1000}, era, "d1")
 	claim.StoreMillis = 1000
-	if promotion.Claimable(claim, "d2") {
+	if claimable(claim, "d2") {
 		t.Error("d2 may replace a claim that d1 just made")
 	}
-	if !promotion.Claimable(claim, "d1") {
+	if !claimable(claim, "d1") {
 		t.Error("d1 may not renew its own claim")
 	}
 	claim.StoreMillis = 1000 + promotion.ClaimTTL.Milliseconds()
-	if !promotion.Claimable(claim, "d2") {
+	if !claimable(claim, "d2") {
 		t.Error("d2 may not replace a claim that has ended")
 	}
 	const maxPromotionTime = 1700 * time.Millisecond
@@ -86,3 +91,30 @@
 		}
 	}
 }
+
+// TestLostClaimsExclude guards against two daemons that promote at once because the store lost the claim of one of them: in
+// a new era a claim is written only when each claim of the earlier era has ended.
+func TestLostClaimsExclude(t *testing.T) {
+	const now = citronusher.Instant(time.Minute)
+	lastClaim := citronusher.Claim{Holder: "d1", Era: 1, EndMillis: 1, StoreMillis: 2}
+	seen := citronusher.StoreEra{Number: 2, SeenAt: now.Add(-time.Second)}
+	for name, read := range map[string]citronusher.Claim{
+		"no claim": {StoreMillis: 2}, "a claim that has ended": lastClaim, "own": {Holder: "d2", Era: 1, StoreMillis: 2},
+	} {
+		if at := promotion.ClaimableAt(read, seen, "d2", now); at != seen.SeenAt.Add(promotion.ClaimTTL) {
+			t.Errorf("%s: claimable %s after the era was seen, want %s", name, at.Sub(seen.SeenAt), promotion.ClaimTTL)
+		}
+	}
+	later := seen.SeenAt.Add(promotion.ClaimTTL)
+	if promotion.ClaimableAt(lastClaim, seen, "d2", later) != later {
+		t.Error("d2 may not claim the group when every lost claim has ended")
+	}
+	inEra := promotion.NextClaim(lastClaim, seen, "d1")
+	inEra.StoreMillis = inEra.EndMillis
+	if promotion.ClaimableAt(inEra, seen, "d2", now) != now {
+		t.Error("d2 may not replace a claim of this era that has ended")
+	}
+	if promotion.RequestDeadline(0) > citronusher.Instant(promotion.ClaimTTL) {
+		t.Error("a promotion may be requested after its claim has ended")
+	}
+}
--- a/targets/promote.go
+++ b/targets/promote.go
@@ -39,7 +39,8 @@
 	replies         []memberReply       // the members' replies at the beginning
 	paused          []memberReply       // replies of the replicas whose replication is paused
 	nextDelay       time.Duration       // delay before this instance begins another attempt
-	claimedByOther  bool                // another instance holds the claim
+	claimWait       time.Duration       // until a claim that the store may have lost has ended
+	claimedByOther  bool                // another instance holds the claim, or has held one that the store may have lost
 }
 
 // promoteIfNeeded begins a promotion if the primary is leaving or has been unavailable for long enough. The caller
@@ -77,7 +78,7 @@
 	g.promoting = false
 	g.earliestPromotionAt = g.now().Add(m.nextDelay)
 	if !m.claimedByOther {
-		g.expectedBackAt = g.now().Add(expectedOutage)
+		g.expectedBackAt = g.now().Add(m.claimWait + expectedOutage)
 	}
 	g.discoveredAt = 0
 	if reason != "" {
@@ -119,11 +120,11 @@
 	if err != nil {
 		return "the claim could not be read: " + err.Error()
 	}
-	if !promotion.Claimable(read, g.set.config.Self) {
-		m.nextDelay, m.claimedByOther = claimedDelay, true
-		return "another instance holds the claim: " + read.Holder
+	era, now := g.set.config.Store.Era(), g.now()
+	if claimableAt := promotion.ClaimableAt(read, era, g.set.config.Self, now); claimableAt > now {
+		return m.deferClaim(read, era, claimableAt.Sub(now))
 	}
-	m.claim, err = g.set.config.Store.WriteClaim(ctx, g.name, version, promotion.NextClaim(read, g.set.config.Self))
+	m.claim, err = g.set.config.Store.WriteClaim(ctx, g.name, version, promotion.NextClaim(read, era, g.set.config.Self))
 	if err != nil {
 		return "the claim could not be written: " + err.Error()
 	}
@@ -136,6 +137,19 @@
 	return ""
 }
 
+// deferClaim sets when the group's claim is tried again, as it cannot be replaced within wait, and returns the reason.
+func (m *promotionAttempt) deferClaim(read citronusher.Claim, era citronusher.StoreEra, wait time.Duration) string {
+	if read.Era == era.Number {
+		m.nextDelay, m.claimedByOther = claimedDelay, true
+		return "another instance holds the claim: " + read.Holder
+	}
+	m.group.mu.Lock()
+	m.claimedByOther = m.group.lease.Closed() // the lease was released or superseded: a promotion has begun
+	m.group.mu.Unlock()
+	m.claimWait, m.nextDelay = wait, wait
+	return "a claim that the store may have lost is valid for up to " + wait.Round(time.Millisecond).String()
+}
+
 // verifyOutage verifies that no newer term exists and, unless the promotion is planned, that the primary is really down
 // rather than unreachable from this instance only.
 func (m *promotionAttempt) verifyOutage() string {
