promotion: leases of daemons whose registration the store lost are waited for

Cause: a promotion is requested at once when every listed daemon has released its lease. A daemon that registered after the copy from which the store returned is not listed and is not asked, so that its lease could outlast the effect of the promotion and a write of the old primary could be acknowledged. The class is that of the lost claim: an acknowledged row was taken for lasting beyond the store's era.

TestLostRegistrationsHoldLeases states the cases.

--- a/plan.go
+++ b/plan.go
@@ -85,6 +85,8 @@
 	Number uint64
 	// SeenAt is when this daemon received the first response of the era. The era began earlier.
 	SeenAt Instant
+	// Restored is set when this daemon knew the store in an earlier era.
+	Restored bool
 }
 
 // Claim is a daemon's exclusive permission to promote a member of a group. It is a row in the store.
--- a/promotion/promotion.go
+++ b/promotion/promotion.go
@@ -26,6 +26,9 @@
 	refusedDelay = 50 * time.Millisecond
 	// unresponsiveDelay is how long an outage must last, after the first failed probe, when the primary does not respond.
 	unresponsiveDelay = 100 * time.Millisecond
+	// registrationTime is how long the list of instances may lack some that hold leases, after the store returned from an
+	// older copy that lacks them. Those that reach the store register again sooner.
+	registrationTime = 20 * time.Second
 	// discoveryTimeout is how long a primary is searched for when none was known.
 	discoveryTimeout = 700 * time.Millisecond
 )
@@ -83,6 +86,12 @@
 	return requestedAt.Add(requestWindow)
 }
 
+// ListComplete reports whether the list of instances that is read from the store in era names every daemon that may hold a
+// lease, for the holder of claim.
+func ListComplete(claim citronusher.Claim, era citronusher.StoreEra, now citronusher.Instant) bool {
+	return claim.Era == era.Number && (!era.Restored || now >= era.SeenAt.Add(registrationTime))
+}
+
 // EarliestRequestAt returns the earliest time at which a promotion may be requested when the last replica paused
 // replication at pausedAt: at once when every daemon has released its lease, and otherwise so late that every lease that
 // was renewed before has expired when the promotion takes effect.
--- a/promotion/promotion_test.go
+++ b/promotion/promotion_test.go
@@ -118,3 +118,24 @@
 		t.Error("a promotion may be requested after its claim has ended")
 	}
 }
+
+// TestLostRegistrationsHoldLeases guards against a promotion that takes effect before the lease of a daemon whose
+// registration the store has lost, so that nobody asked it to release that lease.
+func TestLostRegistrationsHoldLeases(t *testing.T) {
+	const now = citronusher.Instant(time.Minute)
+	recent, old := now.Add(-time.Second), now.Add(-30*time.Second)
+	for name, c := range map[string]struct {
+		claim uint64
+		era   citronusher.StoreEra
+		want  bool
+	}{
+		"no restore":                   {1, citronusher.StoreEra{Number: 1, SeenAt: recent}, true},
+		"restored while the claim ran": {1, citronusher.StoreEra{Number: 2, SeenAt: old, Restored: true}, false},
+		"restored a moment ago":        {2, citronusher.StoreEra{Number: 2, SeenAt: recent, Restored: true}, false},
+		"restored long ago":            {2, citronusher.StoreEra{Number: 2, SeenAt: old, Restored: true}, true},
+	} {
+		if got := promotion.ListComplete(citronusher.Claim{Era: c.claim}, c.era, now); got != c.want {
+			t.Errorf("%s: complete %t, want %t", name, got, c.want)
+		}
+	}
+}
--- a/targets/promote.go
+++ b/targets/promote.go
@@ -283,15 +283,16 @@
 	return m.awaitPrimary(ctx, candidate)
 }
 
-// releaseLeases requests that every instance releases its lease for the primary and reports whether all did. It reads
-// the instance list after replication was paused: an instance that is not listed can only begin a lease later, and no
-// replica renews that one.
+// releaseLeases requests that every instance releases its lease for the primary and reports whether all did; it reports
+// false while the store may have lost the registration of some. It reads the instance list after replication was paused: an
+// instance that is not listed can only begin a lease later, and no replica renews that one.
 func (m *promotionAttempt) releaseLeases(ctx context.Context) bool {
 	g := m.group
 	instances, err := g.set.config.Store.Instances(ctx)
 	if err != nil {
 		return false
 	}
+	complete := promotion.ListComplete(m.claim, g.set.config.Store.Era(), g.now())
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	var tasks errgroup.Group
@@ -312,7 +313,7 @@
 		events.Log(g.set.config.Logger, events.LeaseReleaseFailed, "group", g.name, "term", m.term, "error", err)
 		return false
 	}
-	return true
+	return complete
 }
 
 // awaitPrimary waits until the promoted member is the primary and adopts it.
