lease, targets: a status without a pause is no proof once pauses may have ended

Cause: any status of a replica that was at the lease's term and not paused began or renewed a lease. A promotion pauses every replica first, so a status without a pause was taken to prove that no promotion runs. But pauses end: with the effect of the promotion, after which a replica that is cut off from the new primary still reports the old term, and with a replica's restart. The class: the absence of a mark was taken for proof although the mark may have been removed.

Change: a report renews a lease only if it arrives while the lease is valid, from a replica whose process ran before the previous renewal; the connections to it show that. What needs more proof takes it from the claim, which now names the term that its holder replaces: nobody has claimed it (then one report suffices), or the claim has ended or cannot be read (then all replicas have to report, twice). A promotion that was abandoned before its request frees its claim. The holder checks once more that the replicas are paused after the last one was.

--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -317,6 +317,8 @@
 		s.member(fields[1]).RejectBusy(s.number(fields[2]))
 	case "cut":
 		s.member(fields[1]).SetPartitioned(true)
+	case "join":
+		s.member(fields[1]).SetPartitioned(false)
 	case "store":
 		s.platform.Fail(s.number(fields[1]))
 	case "store-copy":
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -1,10 +1,14 @@
 // Package lease decides whether a daemon may use a group's primary, and which log positions of the primary it may rely
 // on.
 //
-// A lease is valid for one term. It is renewed by the status of a replica that still replicates under that term. A daemon
-// that promotes another member first pauses replication at every replica, and then waits until the leases that were
-// renewed earlier have expired or were released. Deadlines count from when the status request was sent, on a clock that
-// also runs while the machine is suspended. The package does no I/O and starts no goroutines.
+// A lease is valid for one term. A daemon that promotes another member first pauses replication at every replica, and then
+// waits until the leases that were renewed earlier have expired or were released. A replica that is not paused therefore
+// renews a lease, with two conditions. A pause ends when the promotion takes effect, and a replica that has not heard of the
+// new term then reports the old one: its status must arrive while the lease is valid. A replica that restarts forgets a
+// pause: its process must have run since the previous renewal. A status that meets neither needs more proof, see Establish.
+//
+// Deadlines count from when the status request was sent, on a clock that also runs while the machine is suspended. The
+// package does no I/O and starts no goroutines.
 package lease
 
 import (
@@ -26,6 +30,8 @@
 	Inconclusive
 	// Superseded means that another daemon promotes a member, or has promoted one.
 	Superseded
+	// Unproven means that the status is one of the proofs that Establish requires, but does not renew the lease.
+	Unproven
 )
 
 // Lease is one daemon's permission to use the primary of one term until a deadline. The zero Lease is not valid.
@@ -57,8 +63,19 @@
 // Close ends the lease. Only Begin makes it renewable again.
 func (l *Lease) Close() { l.closed = true }
 
-// ObserveStatus applies a replica's status that was requested at requestedAt.
-func (l *Lease) ObserveStatus(status citronusher.MemberStatus, requestedAt citronusher.Instant) Verdict {
+// Report is a replica's status with the times that decide what it proves.
+type Report struct {
+	// Status is what the replica reported.
+	Status citronusher.MemberStatus
+	// RequestedAt is when the status request was sent.
+	RequestedAt citronusher.Instant
+	// RunningSince is the time since which the replica's process is known to run.
+	RunningSince citronusher.Instant
+}
+
+// ObserveReport applies a replica's report that arrived at now.
+func (l *Lease) ObserveReport(r Report, now citronusher.Instant) Verdict {
+	status, requestedAt := r.Status, r.RequestedAt
 	if l.closed || status.Term > l.term || status.PausedTerm > l.term {
 		l.closed = true
 		return Superseded
@@ -66,10 +83,24 @@
 	if status.Role != citronusher.RoleReplica || status.Term != l.term || l.term == 0 || requestedAt <= l.after {
 		return Inconclusive
 	}
+	if renewedAt, ok := l.RenewalSentAt(); !ok || !l.Valid(now) || r.RunningSince >= renewedAt {
+		return Unproven
+	}
 	l.deadline = max(l.deadline, requestedAt.Add(TTL))
 	return Renewed
 }
 
+// Establish begins or renews the lease by proof that no promotion had begun when a status was requested at requestedAt: the
+// replica reported the term unpaused, and nobody had claimed the promotion of a successor afterwards. It reports whether the
+// lease was changed.
+func (l *Lease) Establish(requestedAt citronusher.Instant) bool {
+	if l.closed || l.term == 0 || requestedAt <= l.after {
+		return false
+	}
+	l.deadline = max(l.deadline, requestedAt.Add(TTL))
+	return true
+}
+
 // ObservePeerRenewal applies a renewal that another daemon received from a replica. requestedAt is on this
 // daemon's clock and not later than that daemon's request to the replica.
 func (l *Lease) ObservePeerRenewal(term uint64, requestedAt citronusher.Instant) Verdict {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -19,7 +19,7 @@
 }
 
 var verdicts = map[lease.Verdict]string{
-	lease.Renewed: "renewed", lease.Inconclusive: "inconclusive", lease.Superseded: "superseded",
+	lease.Renewed: "renewed", lease.Inconclusive: "inconclusive", lease.Superseded: "superseded", lease.Unproven: "unproven",
 }
 
 func number(t *testing.T, text string) int {
@@ -31,8 +31,9 @@
 	return n
 }
 
-// TestLease checks which replica statuses renew or end a lease. A lease that is renewed by a status of another term or
-// one requested before its release would let two primaries be used at once.
+// TestLease checks which replica reports renew or end a lease. A lease that is renewed by a report of another term, one
+// requested before its release, one that arrives when the lease has expired, or one of a replica that may have restarted
+// since the last renewal would let two primaries be used at once.
 func TestLease(t *testing.T) {
 	datadriven.RunTest(t, "testdata/lease.txt", func(t *testing.T, d *datadriven.TestData) string {
 		var r lease.Lease
@@ -42,12 +43,14 @@
 			switch fields[0] {
 			case "begin":
 				r.Begin(uint64(number(t, fields[1]))) //nolint:gosec // small
-			case "report": // report ROLE TERM HELD asked AT
-				status := citronusher.MemberStatus{
+			case "report": // report ROLE TERM HELD asked AT arrived AT running AT
+				report := lease.Report{Status: citronusher.MemberStatus{
 					Role: citronusher.Role(fields[1]), Term: uint64(number(t, fields[2])), //nolint:gosec // small
 					PausedTerm: uint64(number(t, fields[3])), //nolint:gosec // small
-				}
-				fmt.Fprintf(&out, "%s: %s\n", line, verdicts[r.ObserveStatus(status, at(number(t, fields[5])))])
+				}, RequestedAt: at(number(t, fields[5])), RunningSince: at(number(t, fields[9]))}
+				fmt.Fprintf(&out, "%s: %s\n", line, verdicts[r.ObserveReport(report, at(number(t, fields[7])))])
+			case "establish": // establish AT
+				fmt.Fprintf(&out, "%s: %t\n", line, r.Establish(at(number(t, fields[1]))))
 			case "peer": // peer TERM asked AT
 				verdict := r.ObservePeerRenewal(uint64(number(t, fields[1])), at(number(t, fields[3]))) //nolint:gosec // small
 				fmt.Fprintf(&out, "%s: %s\n", line, verdicts[verdict])
--- a/plan.go
+++ b/plan.go
@@ -97,6 +97,10 @@
 	Token uint64
 	// Era is the number of the store's era in which the claim was written; 0 without a claim.
 	Era uint64
+	// Version is the version of the claim's row, which WriteClaim must expect; 0 without a claim.
+	Version uint64
+	// Term is the term of the primary that the holder may be replacing; 0 when it certainly requested no promotion.
+	Term uint64
 	// EndMillis is when the claim ends, in milliseconds of the store's clock.
 	EndMillis int64
 	// StoreMillis is the store's clock when it responded, in milliseconds.
@@ -127,8 +131,8 @@
 	Replicate(ctx context.Context, instance Instance) error
 	// Deregister removes a daemon from the registered ones.
 	Deregister(ctx context.Context, name string) error
-	// ReadClaim returns the claim on a group and its version, which WriteClaim must expect.
-	ReadClaim(ctx context.Context, group string) (Claim, uint64, error)
+	// ReadClaim returns the claim on a group.
+	ReadClaim(ctx context.Context, group string) (Claim, error)
 	// WriteClaim replaces the claim that has the expected version.
 	WriteClaim(ctx context.Context, group string, expected uint64, claim Claim) (Claim, error)
 }
--- a/promotion/promotion.go
+++ b/promotion/promotion.go
@@ -22,6 +22,8 @@
 	requestWindow = 2200 * time.Millisecond
 	// minPromotionTime is the shortest time that the platform takes from a promotion request to its effect.
 	minPromotionTime = 300 * time.Millisecond
+	// statusAge is the maximum age of a status that is used together with a claim, when the claim is read.
+	statusAge = 1 * time.Second
 	// refusedDelay is how long an outage must last when the primary's machine refuses connections.
 	refusedDelay = 50 * time.Millisecond
 	// unresponsiveDelay is how long an outage must last, after the first failed probe, when the primary does not respond.
@@ -73,13 +75,32 @@
 	}
 }
 
-// NextClaim returns the claim by which self replaces the one that was read from the store in era.
-func NextClaim(read citronusher.Claim, era citronusher.StoreEra, self string) citronusher.Claim {
+// NextClaim returns the claim by which self replaces the one that was read from the store in era, to replace the primary of
+// term.
+func NextClaim(read citronusher.Claim, era citronusher.StoreEra, self string, term uint64) citronusher.Claim {
 	return citronusher.Claim{
-		Holder: self, Era: era.Number, EndMillis: read.StoreMillis + ClaimTTL.Milliseconds(),
+		Holder: self, Era: era.Number, Term: term, EndMillis: read.StoreMillis + ClaimTTL.Milliseconds(),
 	}
 }
 
+// Unclaimed reports whether the claim that was read from the store in era shows that, up to then, nobody could replace the
+// primary of term.
+func Unclaimed(read citronusher.Claim, era citronusher.StoreEra, term uint64, now citronusher.Instant) bool {
+	return read.Term < term && (read.Era == era.Number || now >= era.SeenAt.Add(ClaimTTL))
+}
+
+// Ended reports whether the claim ended so long before it was read that a promotion under it had taken effect, or never
+// will, when the statuses were requested that are used with it.
+func Ended(read citronusher.Claim, era citronusher.StoreEra) bool {
+	return read.Era == era.Number && read.EndMillis+statusAge.Milliseconds() <= read.StoreMillis
+}
+
+// ClaimDeadline returns the time until which nobody else can claim the group, when the read request for the claim was sent
+// at requestedAt.
+func ClaimDeadline(requestedAt citronusher.Instant) citronusher.Instant {
+	return requestedAt.Add(ClaimTTL)
+}
+
 // RequestDeadline returns the time until which a daemon may request a promotion under a claim, when the read request for the
 // claim was sent at requestedAt.
 func RequestDeadline(requestedAt citronusher.Instant) citronusher.Instant {
--- a/promotion/promotion_test.go
+++ b/promotion/promotion_test.go
@@ -46,7 +46,7 @@
 	claimable := func(claim citronusher.Claim, self string) bool {
 		return promotion.ClaimableAt(claim, era, self, now) <= now
 	}
-	claim := promotion.NextClaim(citronusher.Claim{StoreMillis: 1000}, era, "d1")
+	claim := promotion.NextClaim(citronusher.Claim{StoreMillis: 1000}, era, "d1", 1)
 	claim.StoreMillis = 1000
 	if claimable(claim, "d2") {
 		t.Error("d2 may replace a claim that d1 just made")
@@ -109,7 +109,7 @@
 	if promotion.ClaimableAt(lastClaim, seen, "d2", later) != later {
 		t.Error("d2 may not claim the group when every lost claim has ended")
 	}
-	inEra := promotion.NextClaim(lastClaim, seen, "d1")
+	inEra := promotion.NextClaim(lastClaim, seen, "d1", 1)
 	inEra.StoreMillis = inEra.EndMillis
 	if promotion.ClaimableAt(inEra, seen, "d2", now) != now {
 		t.Error("d2 may not replace a claim of this era that has ended")
@@ -139,3 +139,36 @@
 		}
 	}
 }
+
+// TestOnlyAFreeClaimProvesALease guards against a lease on a primary whose successor may have been promoted: a claim on its
+// term, one that the store may have lost, and one that ended only now prove nothing.
+func TestOnlyAFreeClaimProvesALease(t *testing.T) {
+	const now = citronusher.Instant(time.Minute)
+	const term = 4
+	era := citronusher.StoreEra{Number: 2, SeenAt: now.Add(-time.Second)}
+	settled := citronusher.StoreEra{Number: 2, SeenAt: now.Add(-promotion.ClaimTTL)}
+	claim := func(era, term uint64, endMillis, storeMillis int64) citronusher.Claim {
+		return citronusher.Claim{Era: era, Term: term, EndMillis: endMillis, StoreMillis: storeMillis}
+	}
+	for name, c := range map[string]struct {
+		read             citronusher.Claim
+		era              citronusher.StoreEra
+		unclaimed, ended bool
+	}{
+		"claim on the term":               {claim(2, term, 9000, 8000), era, false, false},
+		"claim on the term, ending":       {claim(2, term, 9000, 9999), era, false, false},
+		"claim on the term, ended":        {claim(2, term, 9000, 10000), era, false, true},
+		"claim on the predecessor":        {claim(2, term-1, 9000, 8000), era, true, false},
+		"claim that was freed":            {claim(2, 0, 9000, 8000), era, true, false},
+		"none since the store returned":   {claim(0, 0, 0, 8000), era, false, false},
+		"older, since the store returned": {claim(1, term-1, 1, 8000), era, false, false},
+		"none, lost ones have ended":      {claim(0, 0, 0, 8000), settled, true, false},
+	} {
+		if got := promotion.Unclaimed(c.read, c.era, term, now); got != c.unclaimed {
+			t.Errorf("%s: unclaimed %t, want %t", name, got, c.unclaimed)
+		}
+		if got := promotion.Ended(c.read, c.era); got != c.ended {
+			t.Errorf("%s: ended %t, want %t", name, got, c.ended)
+		}
+	}
+}
--- a/targets/conn.go
+++ b/targets/conn.go
@@ -153,7 +153,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err == nil {
-		c := &pooledConn{link: link, values: map[string]string{}, prepared: map[string]bool{}, idleSince: now}
+		c := &pooledConn{link: link, values: map[string]string{}, prepared: map[string]bool{}, openedAt: now, idleSince: now}
 		g.recordResponse(m, now)
 		m.conns[c] = struct{}{}
 		return c, nil
@@ -227,6 +227,7 @@
 	}
 	for i, answer := range answers {
 		h.member.lastResponseAt = now
+		h.member.observeRunning(h.conn.openedAt, sentAt)
 		h.observeAnswer(answer, commands[i], sentAt, valid, now)
 	}
 	if err != nil {
--- a/targets/discover.go
+++ b/targets/discover.go
@@ -35,9 +35,15 @@
 	leaving bool
 	status  citronusher.MemberStatus
 	sentAt  citronusher.Instant
+	since   citronusher.Instant // since when the member's process is known to run
 	err     error
 }
 
+// report returns the reply in the form in which a lease observes it.
+func (r memberReply) report() lease.Report {
+	return lease.Report{Status: r.status, RequestedAt: r.sentAt, RunningSince: r.since}
+}
+
 // queryAll sends the request to all members concurrently, except those that failed within downBackoff.
 func (g *Group) queryAll(request memberRequest) []memberReply {
 	now := g.now()
@@ -88,7 +94,7 @@
 	r.sentAt = g.now()
 	r.status, r.err = request(c, deadline)
 	g.set.config.Meter.Probes().Inc(1)
-	g.returnQueried(m, c, r.err)
+	r.since = g.returnQueried(m, c, r)
 	if r.err != nil && !dialed && citronusher.AsFailure(r.err).Reason() == citronusher.ReasonConnect && g.now() < deadline {
 		return g.query(m, deadline.Sub(g.now()), request) // the idle connection had been closed
 	}
@@ -96,22 +102,26 @@
 }
 
 // returnQueried returns a connection after a request, or closes it if the request failed. A member that was too busy to
-// answer (ReasonFull) leaves the connection usable.
-func (g *Group) returnQueried(m *member, c *pooledConn, err error) {
+// answer (ReasonFull) leaves the connection usable. It returns since when the member's process is known to run.
+func (g *Group) returnQueried(m *member, c *pooledConn, r memberReply) citronusher.Instant {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	failed := err != nil && citronusher.AsFailure(err).Reason() != citronusher.ReasonFull
+	failed := r.err != nil && citronusher.AsFailure(r.err).Reason() != citronusher.ReasonFull
+	if !failed {
+		m.observeRunning(c.openedAt, r.sentAt)
+	}
 	_, pooled := m.conns[c]
 	if failed || !pooled || g.closed {
 		delete(m.conns, c)
 		closeConn(c)
-		return
+		return m.runningSince
 	}
 	g.recordResponse(m, now)
 	c.idleSince = now
 	m.idle = append(m.idle, c)
 	g.dispatch(now)
+	return m.runningSince
 }
 
 // discover requests the status of the members and adopts the primary found, first among the members that are up and then
@@ -125,28 +135,32 @@
 	g.discovering = false
 }
 
-// adopt makes the primary found in reports the group's primary, and reports whether one was found.
+// adopt makes the primary found in reports the group's primary, and reports whether one was found. When the reports do not
+// renew a lease, it reads the claim on the group to establish one.
 func (g *Group) adopt(replies []memberReply) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.adoptLocked(replies)
+	found := reportedPrimary(replies)
+	if found == nil {
+		return g.adoptWith(replies, claimHeld)
+	}
+	l, p := g.examine(found, replies)
+	if p.newest == 0 || l.Closed() || l.Valid(g.now()) {
+		return g.adoptWith(replies, claimHeld)
+	}
+	return g.adoptWith(g.addClaim(found.status.Term, replies, p.complete))
 }
 
-// adoptLocked is adopt for a caller that holds mu. It adopts the primary of the highest term that any member has
-// reported.
-func (g *Group) adoptLocked(replies []memberReply) bool {
+// adoptWith is adopt for a caller that knows the state of the claim at a time after the reports were requested. It adopts
+// the primary of the highest term that any member has reported.
+func (g *Group) adoptWith(replies []memberReply, claim claimState) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	now := g.now()
-	var found *memberReply
-	for i := range replies {
-		r := &replies[i]
-		if r.err != nil {
-			continue
-		}
-		g.highestTerm = max(g.highestTerm, r.status.Term)
-		if r.status.Role == citronusher.RolePrimary && (found == nil || r.status.Term > found.status.Term) {
-			found = r
+	for _, r := range replies {
+		if r.err == nil {
+			g.highestTerm = max(g.highestTerm, r.status.Term)
 		}
 	}
+	found := reportedPrimary(replies)
 	if found == nil && anyBusy(replies) {
 		return false // a member that had no capacity to answer may be the primary
 	}
@@ -154,21 +168,30 @@
 		g.markUnavailable(now, false)
 		return false
 	}
-	newLease := g.lease // a copy keeps the time up to which reports are ignored
-	newLease.Begin(found.status.Term)
-	for _, r := range replies {
-		if r.err == nil && r.member != found.member {
-			newLease.ObserveStatus(r.status, r.sentAt)
-		}
-	}
+	newLease := g.leaseFor(found)
+	p := g.observeReports(&newLease, found.id, replies, now)
 	if newLease.Closed() {
 		g.markUnavailable(now, false)
 		return false
 	}
+	p.claim = claim
+	p.establish(&newLease)
 	g.setPrimary(found, newLease, now)
 	return true
 }
 
+// reportedPrimary returns the primary of the highest term among replies, or nil.
+func reportedPrimary(replies []memberReply) *memberReply {
+	var found *memberReply
+	for i := range replies {
+		r := &replies[i]
+		if r.err == nil && r.status.Role == citronusher.RolePrimary && (found == nil || r.status.Term > found.status.Term) {
+			found = r
+		}
+	}
+	return found
+}
+
 // anyBusy reports whether any member is running but could not answer, because it was busy or out of connections.
 func anyBusy(replies []memberReply) bool {
 	for _, r := range replies {
@@ -199,6 +222,9 @@
 	g.primary, g.lease, g.unavailableSince, g.connectionRefused = id, newLease, 0, false
 	g.recordResponse(found.member, now)
 	g.renewalSentAt = found.sentAt
+	if !newLease.Valid(now) {
+		g.renewalSentAt = 0
+	}
 	if newLease.Valid(found.sentAt) {
 		g.history.Observe(found.status.Position, found.sentAt)
 	}
--- /dev/null
+++ b/targets/establish.go
@@ -0,0 +1,156 @@
+package targets
+
+import (
+	"context"
+	"time"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/lease"
+	"citronusher.example/citronusher/promotion"
+)
+
+const (
+	claimReadTimeout  = 400 * time.Millisecond // timeout of reading the claim to establish a lease
+	establishInterval = 150 * time.Millisecond // between two attempts to establish a lease from reports of replicas
+)
+
+// proof is what reports of replicas, and the claim on the group, show about the term of a lease.
+type proof struct {
+	complete       bool                // every member but the primary has reported the term
+	oldest, newest citronusher.Instant // when the first and the last of the reports were requested; 0 without reports
+	claim          claimState
+}
+
+// claimState is what the claim on a group shows about the promotion of a successor to the primary of a term.
+type claimState int
+
+const (
+	// claimUnknown means that the store did not answer, or that the claim has ended: nobody requests a promotion under it
+	// any more, but one may have taken effect.
+	claimUnknown claimState = iota
+	// claimFree means that nobody could promote a successor so far.
+	claimFree
+	// claimHeld means that a promotion may be about to take effect.
+	claimHeld
+)
+
+// establish begins or renews the lease if the proof suffices. With a claim in an unknown state the reports of all replicas
+// are needed: a member that was promoted would be among them.
+func (p proof) establish(l *lease.Lease) bool {
+	switch {
+	case p.newest == 0:
+		return false
+	case p.claim == claimFree:
+		return l.Establish(p.newest)
+	default:
+		return p.claim == claimUnknown && p.complete && l.Establish(p.oldest)
+	}
+}
+
+// observeReports applies the replies of members other than the primary to the lease and returns what they show. The caller
+// holds mu.
+func (g *Group) observeReports(
+	l *lease.Lease, primary string, replies []memberReply, now citronusher.Instant,
+) proof {
+	var p proof
+	reported := map[string]bool{primary: true}
+	for _, r := range replies {
+		if r.err != nil || r.id == primary {
+			continue
+		}
+		verdict := l.ObserveReport(r.report(), now)
+		if verdict != lease.Renewed && verdict != lease.Unproven {
+			continue
+		}
+		reported[r.id] = true
+		p.newest = max(p.newest, r.sentAt)
+		if p.oldest == 0 || r.sentAt < p.oldest {
+			p.oldest = r.sentAt
+		}
+	}
+	p.complete = true
+	for id, m := range g.members {
+		p.complete = p.complete && (reported[id] || m.wrongMember)
+	}
+	return p
+}
+
+// examine returns the lease that would follow from the reports for the primary found, and what the reports show.
+func (g *Group) examine(found *memberReply, replies []memberReply) (lease.Lease, proof) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.leaseFor(found)
+	p := g.observeReports(&l, found.id, replies, g.now())
+	return l, p
+}
+
+// addClaim returns reports with the state of the claim that was read after them, with which they may establish a lease of
+// the term. A claim in an unknown state makes it request the reports of all members once more: a replica that restarted may have
+// forgotten a pause when it reported, and another one may have lost it later, when the promotion took effect.
+func (g *Group) addClaim(term uint64, replies []memberReply, complete bool) ([]memberReply, claimState) {
+	claim := g.readClaim(term)
+	switch {
+	case claim != claimUnknown:
+		return replies, claim
+	case complete:
+		return g.queryAll(requestStatus), claimUnknown
+	default:
+		return replies, claimHeld
+	}
+}
+
+// leaseFor returns a copy of the lease if it is for the primary found, or else a new one for it. The caller holds mu.
+func (g *Group) leaseFor(found *memberReply) lease.Lease {
+	l := g.lease // a copy keeps the time up to which reports are ignored
+	if l.Closed() || l.Term() != found.status.Term || g.primary != found.id {
+		l.Begin(found.status.Term)
+	}
+	return l
+}
+
+// readClaim returns what the store shows about the promotion of a successor to the primary of the term.
+func (g *Group) readClaim(term uint64) claimState {
+	ctx, cancel := context.WithTimeout(g.set.ctx, claimReadTimeout)
+	defer cancel()
+	read, err := g.set.config.Store.ReadClaim(ctx, g.name)
+	era := g.set.config.Store.Era()
+	switch {
+	case err != nil:
+		return claimUnknown
+	case promotion.Unclaimed(read, era, term, g.now()):
+		return claimFree
+	case promotion.Ended(read, era):
+		return claimUnknown
+	default:
+		return claimHeld
+	}
+}
+
+// establishFrom establishes the lease from reports that do not renew it, and reports whether they and the claim on the group
+// suffice.
+func (g *Group) establishFrom(replies []memberReply) bool {
+	if len(replies) == 0 {
+		return false
+	}
+	g.mu.Lock()
+	term, primary := g.lease.Term(), g.primary
+	trial := g.lease
+	complete := g.observeReports(&trial, primary, replies, g.now()).complete
+	g.mu.Unlock()
+	replies, claim := g.addClaim(term, replies, complete)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.lease.Term() != term || g.primary != primary {
+		return false
+	}
+	p := g.observeReports(&g.lease, primary, replies, g.now())
+	p.claim = claim
+	if !p.establish(&g.lease) {
+		return false
+	}
+	g.renewing = false
+	g.renewalSentAt = p.newest
+	g.notifyChanged()
+	g.dispatch(g.now())
+	return true
+}
--- a/targets/group.go
+++ b/targets/group.go
@@ -31,6 +31,7 @@
 	renewalSentAt       citronusher.Instant // when the request that last renewed the lease was sent
 	peerAskedAt         citronusher.Instant // when the lease renewer was last queried
 	renewing            bool                // a renewal is in progress
+	nextRenewalAt       citronusher.Instant // when the next renewal may begin after one failed
 	expiredAt           citronusher.Instant // when the expiry of the lease was last logged
 	primaryCheckedAt    citronusher.Instant // when a primary whose lease no replica renews was last checked
 	discovering         bool                // a discovery of the primary is in progress
--- a/targets/member.go
+++ b/targets/member.go
@@ -25,6 +25,7 @@
 	link      citronusher.MemberConn
 	values    map[string]string
 	prepared  map[string]bool
+	openedAt  citronusher.Instant // when the member had accepted it
 	sentAt    citronusher.Instant // when the running statement was sent; 0 when none runs
 	idleSince citronusher.Instant
 }
@@ -41,6 +42,8 @@
 	maxConns      int                      // connections that this instance may have
 	window        schedule.Window
 
+	runningSince   citronusher.Instant  // since when the member's process is known to run without a restart
+	runningUntil   citronusher.Instant  // until when it is known to have run
 	lastResponseAt citronusher.Instant  // when the member last answered
 	downUntil      citronusher.Instant  // until when no request is sent to the member after a failure
 	fullUntil      citronusher.Instant  // until when no further connection to the member is opened
@@ -73,6 +76,18 @@
 	m.maxConns = min(m.maxConns, max(1, connections/homes))
 }
 
+// observeRunning records that the member answered a request that was sent at sentAt on a connection opened at openedAt. The
+// same process accepted and answered it. It is the one that was known before if that one ran when the connection was opened.
+func (m *member) observeRunning(openedAt, sentAt citronusher.Instant) {
+	switch {
+	case openedAt > m.runningUntil:
+		m.runningSince, m.runningUntil = openedAt, sentAt
+	case sentAt >= m.runningSince:
+		m.runningSince = min(m.runningSince, openedAt)
+		m.runningUntil = max(m.runningUntil, sentAt)
+	}
+}
+
 // reserve counts a connection as in use, for a request that holds or opens it.
 func (m *member) reserve(pinned bool) {
 	m.inUse++
--- a/targets/member_test.go
+++ b/targets/member_test.go
@@ -225,3 +225,27 @@
 		t.Errorf("primary %q, lease closed %t, unavailable since %d", g.primary, g.lease.Closed(), g.unavailableSince)
 	}
 }
+
+// TestRestartedMemberIsNoticed guards against a replica that forgot in a restart that its replication was paused, and is
+// taken for one that was never paused: it counts as running only since a connection that overlaps with those before.
+func TestRestartedMemberIsNoticed(t *testing.T) {
+	const second = citronusher.Instant(time.Second)
+	for name, c := range map[string]struct {
+		answers [][2]citronusher.Instant // when the connection was opened and the request was sent
+		want    citronusher.Instant
+	}{
+		"one connection":                      {[][2]citronusher.Instant{{1, 2}, {1, 9}}, 1},
+		"opened while the other one answered": {[][2]citronusher.Instant{{1, 2}, {1, 5}, {4, 6}, {4, 9}}, 1},
+		"opened after the last answer":        {[][2]citronusher.Instant{{1, 2}, {4, 6}}, 4},
+		"the other one answers after all":     {[][2]citronusher.Instant{{1, 2}, {4, 6}, {1, 7}}, 1},
+		"a late answer from before":           {[][2]citronusher.Instant{{4, 6}, {1, 3}}, 4},
+	} {
+		m := newMember(citronusher.MemberReport{})
+		for _, answer := range c.answers {
+			m.observeRunning(answer[0]*second, answer[1]*second)
+		}
+		if m.runningSince != c.want*second {
+			t.Errorf("%s: running since %d s, want %d s", name, m.runningSince/second, c.want)
+		}
+	}
+}
--- a/targets/pause.go
+++ b/targets/pause.go
@@ -69,6 +69,23 @@
 	return ""
 }
 
+// checkStillPaused returns a reason if a replica may have restarted before the last one was paused, so that it forgot the
+// pause and has renewed leases since. One that is too busy to answer is known by its connections not to have restarted.
+func (m *promotionAttempt) checkStillPaused() string {
+	checked := map[string]memberReply{}
+	for _, r := range m.group.queryAll(requestStatus) {
+		checked[r.id] = r
+	}
+	for _, paused := range m.paused {
+		r, ok := checked[paused.id]
+		busy := r.err != nil && citronusher.AsFailure(r.err).Reason() == citronusher.ReasonFull && r.since <= paused.sentAt
+		if !ok || r.err != nil && !busy || r.err == nil && r.status.PausedTerm <= m.term {
+			return "replication at member " + paused.id + " may not be paused any more"
+		}
+	}
+	return ""
+}
+
 // checkReachable returns a reason if a member other than the primary is down for this instance: it may still be able to
 // renew the leases of others.
 func (m *promotionAttempt) checkReachable() string {
--- a/targets/promote.go
+++ b/targets/promote.go
@@ -35,6 +35,9 @@
 	primary         string // member that is replaced; empty if no primary is known
 	term            uint64 // highest term reported by any member when the attempt began
 	claim           citronusher.Claim
+	claimDeadline   citronusher.Instant // until when nobody else can claim the group
+	wasFree         bool                // nobody could promote a successor to the primary before this attempt
+	requested       bool                // the promotion may have been requested
 	requestDeadline citronusher.Instant // until when the promotion may be requested
 	replies         []memberReply       // the members' replies at the beginning
 	paused          []memberReply       // replies of the replicas whose replication is paused
@@ -73,6 +76,7 @@
 	ctx, cancel := context.WithTimeout(g.set.ctx, promotionTimeout)
 	defer cancel()
 	reason := m.try(ctx)
+	m.disclaim(ctx)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.promoting = false
@@ -116,7 +120,7 @@
 func (m *promotionAttempt) claimGroup(ctx context.Context) string {
 	g := m.group
 	sentAt := g.now()
-	read, version, err := g.set.config.Store.ReadClaim(ctx, g.name)
+	read, err := g.set.config.Store.ReadClaim(ctx, g.name)
 	if err != nil {
 		return "the claim could not be read: " + err.Error()
 	}
@@ -124,11 +128,12 @@
 	if claimableAt := promotion.ClaimableAt(read, era, g.set.config.Self, now); claimableAt > now {
 		return m.deferClaim(read, era, claimableAt.Sub(now))
 	}
-	m.claim, err = g.set.config.Store.WriteClaim(ctx, g.name, version, promotion.NextClaim(read, era, g.set.config.Self))
-	if err != nil {
+	next := promotion.NextClaim(read, era, g.set.config.Self, m.term)
+	if m.claim, err = g.set.config.Store.WriteClaim(ctx, g.name, read.Version, next); err != nil {
 		return "the claim could not be written: " + err.Error()
 	}
-	m.requestDeadline = promotion.RequestDeadline(sentAt)
+	m.requestDeadline, m.claimDeadline = promotion.RequestDeadline(sentAt), promotion.ClaimDeadline(sentAt)
+	m.wasFree = promotion.Unclaimed(read, era, m.term, now)
 	members, err := g.set.config.Store.Members(ctx)
 	if err != nil {
 		return "the members could not be read: " + err.Error()
@@ -198,7 +203,13 @@
 		m.resumeReplication()
 		replies = m.group.queryAll(requestStatus)
 	}
-	m.group.adopt(replies)
+	claim := claimUnknown // an earlier one, which has ended
+	if m.wasFree {
+		claim = claimFree
+	}
+	if m.group.adoptWith(replies, claim) {
+		m.wasFree = m.wasFree || m.group.Ready()
+	}
 }
 
 // newestTerm returns the highest term in replies and whether a member reports to be the primary of m.term or a later
@@ -268,6 +279,10 @@
 		return "no member can be promoted"
 	}
 	pausedAt := g.now()
+	if reason := m.checkStillPaused(); reason != "" {
+		m.resumeReplication()
+		return reason
+	}
 	if wait := promotion.EarliestRequestAt(pausedAt, m.releaseLeases(ctx)).Sub(g.now()); wait > 0 {
 		time.Sleep(wait)
 	}
@@ -275,6 +290,7 @@
 		m.resumeReplication()
 		return "the claim is too old to request a promotion"
 	}
+	m.requested = true
 	if err := g.set.config.Promoter.Promote(ctx, m.requestDeadline, g.name, candidate, m.claim); err != nil {
 		return "the promotion of " + candidate + " was not confirmed: " + err.Error()
 	}
@@ -283,6 +299,31 @@
 	return m.awaitPrimary(ctx, candidate)
 }
 
+// adoptPromoted adopts the promoted member. While the claim lasts, nobody else can replace it.
+func (m *promotionAttempt) adoptPromoted() {
+	g := m.group
+	replies := g.queryUp(requestStatus)
+	if g.now() < m.claimDeadline {
+		g.adoptWith(replies, claimFree)
+		return
+	}
+	g.adopt(replies)
+}
+
+// disclaim records in the claim that no promotion was requested under it, so that it does not keep daemons from establishing
+// leases on the primary. It does nothing if a promotion may have been requested, under this claim or an earlier one.
+func (m *promotionAttempt) disclaim(ctx context.Context) {
+	if m.requested || !m.wasFree || m.claim.Version == 0 {
+		return
+	}
+	g := m.group
+	claim := m.claim
+	claim.Term = 0
+	if _, err := g.set.config.Store.WriteClaim(ctx, g.name, m.claim.Version, claim); err != nil {
+		events.Log(g.set.config.Logger, events.PlatformUnavailable, "part", "claims", "error", err)
+	}
+}
+
 // releaseLeases requests that every instance releases its lease for the primary and reports whether all did; it reports
 // false while the store may have lost the registration of some. It reads the instance list after replication was paused: an
 // instance that is not listed can only begin a lease later, and no replica renews that one.
@@ -327,7 +368,7 @@
 		time.Sleep(promotedCheckInterval)
 		r := g.query(next, memberTimeout, requestStatus)
 		if r.err == nil && r.status.Role == citronusher.RolePrimary {
-			g.adopt(g.queryUp(requestStatus))
+			m.adoptPromoted()
 			m.demoteOld(r.status.Term)
 			return ""
 		}
--- a/targets/renew.go
+++ b/targets/renew.go
@@ -39,7 +39,8 @@
 // renews at a replica, and the other instances take over its renewals. The caller holds mu.
 func (g *Group) renewIfNeeded(now citronusher.Instant) {
 	used := g.queue.PrimaryLen() > 0 || now < g.primaryUsedAt.Add(leaseIdleTimeout)
-	if g.renewing || g.lease.Term() == 0 || g.lease.Closed() || !used || now < g.renewalSentAt.Add(renewInterval) {
+	due := now >= g.renewalSentAt.Add(renewInterval) && now >= g.nextRenewalAt
+	if g.renewing || g.lease.Term() == 0 || g.lease.Closed() || !used || !due {
 		return
 	}
 	renewer, isPeer := g.set.leaseRenewer(g.name)
@@ -99,25 +100,25 @@
 // renewFromReplicas queries the replicas in turn until one renews the lease or shows that it is superseded. If none
 // does and the lease has expired, the primary is checked, and the expiry is logged at most once per TTL.
 func (g *Group) renewFromReplicas() {
+	var unproven []memberReply
 	for _, m := range g.renewalReplicas() {
 		r := g.query(m, replicaRenewalTimeout, requestStatus)
-		g.mu.Lock()
-		result := lease.Inconclusive
-		if r.err == nil && g.members[r.id] == m && r.id != g.primary {
-			result = g.lease.ObserveStatus(r.status, r.sentAt)
-			m.position = m.position.Max(r.status.Position)
-		}
-		if result != lease.Inconclusive {
-			g.finishRenewal(result, r)
-			g.mu.Unlock()
+		switch g.observeRenewal(m, r) {
+		case lease.Renewed, lease.Superseded:
 			return
+		case lease.Unproven:
+			unproven = append(unproven, r)
+		case lease.Inconclusive:
 		}
-		g.mu.Unlock()
+	}
+	if g.establishFrom(unproven) {
+		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.renewing = false
 	now := g.now()
+	g.nextRenewalAt = now.Add(establishInterval)
 	if g.lease.Valid(now) {
 		return
 	}
@@ -128,6 +129,21 @@
 	}
 }
 
+// observeRenewal applies a member's reply to the lease and finishes the renewal if it renewed or superseded the lease.
+func (g *Group) observeRenewal(m *member, r memberReply) lease.Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r.err != nil || g.members[r.id] != m || r.id == g.primary {
+		return lease.Inconclusive
+	}
+	m.position = m.position.Max(r.status.Position)
+	result := g.lease.ObserveReport(r.report(), g.now())
+	if result == lease.Renewed || result == lease.Superseded {
+		g.finishRenewal(result, r)
+	}
+	return result
+}
+
 // checkUnconfirmedPrimary checks a primary whose lease no replica renews. No request is sent to it, so that nothing else
 // would show that it is down. The caller holds mu.
 func (g *Group) checkUnconfirmedPrimary(now citronusher.Instant) {
--- a/targets/watch.go
+++ b/targets/watch.go
@@ -138,8 +138,9 @@
 func (g *Group) probe(m *member) {
 	c, err := g.dial(m, g.now().Add(probeTimeout))
 	if err == nil {
-		var status citronusher.MemberStatus
-		status, err = c.link.Status(g.now().Add(probeTimeout))
+		r := memberReply{sentAt: g.now()}
+		r.status, r.err = c.link.Status(r.sentAt.Add(probeTimeout))
+		status, err := r.status, r.err
 		g.set.config.Meter.Probes().Inc(1)
 		g.mu.Lock()
 		superseded := status.Role == citronusher.RoleReplica || status.Term > g.lease.Term()
@@ -147,7 +148,7 @@
 			g.lease.Close()
 		}
 		g.mu.Unlock()
-		g.returnQueried(m, c, err)
+		g.returnQueried(m, c, r)
 		if err != nil && citronusher.AsFailure(err).Reason() == citronusher.ReasonConnect {
 			g.mu.Lock()
 			g.markDown(m, g.now(), err)
