targets, platform/store: replicas stay paused while a requested promotion may take effect

Callers could get a write acknowledged that the old primary committed after another member had taken over (ONE), when the answer to a promotion request was lost.

Cause: the daemon that had requested the promotion began a new attempt 300 ms later under its own claim, found the old primary answering and resumed the replicas, while the platform still carried out the request. A daemon that had been suspended could also resume replicas after its claim had ended, when another daemon had paused them.

Change: until the end of the claim under which a request was sent without a certain outcome, the daemon resumes no replica and adopts no primary of the old term; it may request the promotion again. Replicas are resumed only while the own claim lasts.

--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -321,6 +321,8 @@
 		s.member(fields[1]).SetPartitioned(false)
 	case "store":
 		s.platform.Fail(s.number(fields[1]))
+	case "lose-promotions":
+		s.platform.LosePromotionAnswers(fields[1] == "on")
 	case "store-copy":
 		s.platform.Copy()
 	case "store-restore":
--- a/standin/users/store.go
+++ b/standin/users/store.go
@@ -60,6 +60,7 @@
 	failStatus      int    // HTTP status of every call but /promote; 0 for normal operation
 	feedsStalled    bool   // feed requests that start now return no changes
 	requests        []PromotionRequest
+	loseRequests    bool // promotion requests are carried out, but not answered
 	promote         func(group, member string) int
 }
 
@@ -107,6 +108,13 @@
 	s.feedsStalled = stalled
 }
 
+// LosePromotionAnswers sets whether promotion requests are carried out without an answer.
+func (s *Store) LosePromotionAnswers(lose bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loseRequests = lose
+}
+
 // PromotionRequests returns the promotion requests received so far.
 func (s *Store) PromotionRequests() []PromotionRequest {
 	s.mu.Lock()
@@ -315,7 +323,11 @@
 	s.requests = append(s.requests, PromotionRequest{
 		Holder: r.Header.Get("Lease-Holder"), Group: body.Service, Member: body.ID, Token: token,
 	})
-	promote := s.promote
+	promote, lose := s.promote, s.loseRequests
 	s.mu.Unlock()
-	w.WriteHeader(promote(body.Service, body.ID))
+	status := promote(body.Service, body.ID)
+	if lose {
+		panic(http.ErrAbortHandler) // closes the connection without a response
+	}
+	w.WriteHeader(status)
 }
--- a/targets/pause.go
+++ b/targets/pause.go
@@ -100,8 +100,21 @@
 	return ""
 }
 
-// resumeReplication resumes replication at the members where it was paused. Errors are ignored.
+// mayResume reports whether replication may be resumed: no promotion that this instance requested may take effect any more,
+// and no other instance can have paused the members for another one.
+func (m *promotionAttempt) mayResume() bool {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	now := m.group.now()
+	return now >= m.group.unconfirmedUntil && now.Add(memberTimeout) < m.claimDeadline
+}
+
+// resumeReplication resumes replication at the members where it was paused, if it may. Otherwise the next holder of the claim
+// does. Errors are ignored.
 func (m *promotionAttempt) resumeReplication() {
+	if !m.mayResume() {
+		return
+	}
 	var tasks sync.WaitGroup
 	for _, r := range m.paused {
 		tasks.Go(func() {
--- a/targets/promote.go
+++ b/targets/promote.go
@@ -191,9 +191,12 @@
 }
 
 // resumeUnfinished resumes replication at members that an unfinished earlier promotion paused, and adopts the primary,
-// which has kept its role. Only the holder of the claim may do so, because no earlier promotion request is in progress
+// which has kept its role. Only the holder of the claim may do so, because no request of another instance is in progress
 // then.
 func (m *promotionAttempt) resumeUnfinished(replies []memberReply) {
+	if !m.mayResume() {
+		return
+	}
 	for _, r := range replies {
 		if r.err == nil && r.status.PausedTerm > m.term {
 			m.paused = append(m.paused, r)
@@ -291,7 +294,12 @@
 		return "the claim is too old to request a promotion"
 	}
 	m.requested = true
+	earlier := g.setUnconfirmed(m.claimDeadline)
 	if err := g.set.config.Promoter.Promote(ctx, m.requestDeadline, g.name, candidate, m.claim); err != nil {
+		if errors.Is(err, citronusher.ErrNotRun) {
+			m.requested = false
+			g.setUnconfirmed(earlier)
+		}
 		return "the promotion of " + candidate + " was not confirmed: " + err.Error()
 	}
 	g.set.config.Meter.Promotions().Inc(1)
@@ -324,6 +332,15 @@
 	}
 }
 
+// setUnconfirmed sets until when a promotion that this instance requested may take effect, and returns the earlier value.
+func (g *Group) setUnconfirmed(until citronusher.Instant) citronusher.Instant {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	earlier := g.unconfirmedUntil
+	g.unconfirmedUntil = until
+	return earlier
+}
+
 // releaseLeases requests that every instance releases its lease for the primary and reports whether all did; it reports
 // false while the store may have lost the registration of some. It reads the instance list after replication was paused: an
 // instance that is not listed can only begin a lease later, and no replica renews that one.
@@ -368,6 +385,7 @@
 		time.Sleep(promotedCheckInterval)
 		r := g.query(next, memberTimeout, requestStatus)
 		if r.err == nil && r.status.Role == citronusher.RolePrimary {
+			g.setUnconfirmed(0)
 			m.adoptPromoted()
 			m.demoteOld(r.status.Term)
 			return ""
