--- /dev/null
+++ b/promotion/claim_test.go
@@ -0,0 +1,120 @@
+package promotion_test
+
+import (
+	"testing"
+	"time"
+
+	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/promotion"
+)
+
+// TestClaimsExclude checks that another daemon can replace a claim only after its end, and that a promotion that is
+// requested in time takes effect before that. Otherwise two daemons could promote different members.
+func TestClaimsExclude(t *testing.T) {
+	const now = citronusher.Instant(7)
+	era := citronusher.StoreEra{Number: 1, SeenAt: 3}
+	claimable := func(claim citronusher.Claim, self string) bool {
+		return promotion.ClaimableAt(claim, era, self, now) <= now
+	}
+	claim := promotion.NextClaim(citronusher.Claim{StoreMillis: 1000}, era, "d1", 1)
+	claim.StoreMillis = 1000
+	if claimable(claim, "d2") {
+		t.Error("d2 may replace a claim that d1 just made")
+	}
+	if !claimable(claim, "d1") {
+		t.Error("d1 may not renew its own claim")
+	}
+	claim.StoreMillis = 1000 + promotion.ClaimTTL.Milliseconds()
+	if !claimable(claim, "d2") {
+		t.Error("d2 may not replace a claim that has ended")
+	}
+	const maxPromotionTime = 1700 * time.Millisecond
+	pausedAt := citronusher.Instant(0).Add(500 * time.Millisecond)
+	if promotion.EarliestRequestAt(pausedAt, false) > promotion.RequestDeadline(0) {
+		t.Error("the leases of daemons that do not respond expire after the request deadline")
+	}
+	if last := promotion.RequestDeadline(0); last.Add(maxPromotionTime) > citronusher.Instant(promotion.ClaimTTL) {
+		t.Errorf("a promotion requested at %v may take effect after the claim's end", last)
+	}
+}
+
+// TestLostClaimsExclude guards against two daemons that promote at once because the store lost the claim of one of them: in
+// a new era a claim is written only when each claim of the earlier era has ended.
+func TestLostClaimsExclude(t *testing.T) {
+	const now = citronusher.Instant(time.Minute)
+	lastClaim := citronusher.Claim{Holder: "d1", Era: 1, EndMillis: 1, StoreMillis: 2}
+	seen := citronusher.StoreEra{Number: 2, SeenAt: now.Add(-time.Second)}
+	for name, read := range map[string]citronusher.Claim{
+		"no claim": {StoreMillis: 2}, "a claim that has ended": lastClaim, "own": {Holder: "d2", Era: 1, StoreMillis: 2},
+	} {
+		if at := promotion.ClaimableAt(read, seen, "d2", now); at != seen.SeenAt.Add(promotion.ClaimTTL) {
+			t.Errorf("%s: claimable %s after the era was seen, want %s", name, at.Sub(seen.SeenAt), promotion.ClaimTTL)
+		}
+	}
+	later := seen.SeenAt.Add(promotion.ClaimTTL)
+	if promotion.ClaimableAt(lastClaim, seen, "d2", later) != later {
+		t.Error("d2 may not claim the group when every lost claim has ended")
+	}
+	inEra := promotion.NextClaim(lastClaim, seen, "d1", 1)
+	inEra.StoreMillis = inEra.EndMillis
+	if promotion.ClaimableAt(inEra, seen, "d2", now) != now {
+		t.Error("d2 may not replace a claim of this era that has ended")
+	}
+	if promotion.RequestDeadline(0) > citronusher.Instant(promotion.ClaimTTL) {
+		t.Error("a promotion may be requested after its claim has ended")
+	}
+}
+
+// TestLostRegistrationsHoldLeases guards against a promotion that takes effect before the lease of a daemon whose
+// registration the store has lost, so that nobody asked it to release that lease.
+func TestLostRegistrationsHoldLeases(t *testing.T) {
+	const now = citronusher.Instant(time.Minute)
+	recent, old := now.Add(-time.Second), now.Add(-30*time.Second)
+	for name, c := range map[string]struct {
+		claim uint64
+		era   citronusher.StoreEra
+		want  bool
+	}{
+		"no restore":                   {1, citronusher.StoreEra{Number: 1, SeenAt: recent}, true},
+		"restored while the claim ran": {1, citronusher.StoreEra{Number: 2, SeenAt: old, Restored: true}, false},
+		"restored a moment ago":        {2, citronusher.StoreEra{Number: 2, SeenAt: recent, Restored: true}, false},
+		"restored long ago":            {2, citronusher.StoreEra{Number: 2, SeenAt: old, Restored: true}, true},
+	} {
+		if got := promotion.ListComplete(citronusher.Claim{Era: c.claim}, c.era, now); got != c.want {
+			t.Errorf("%s: complete %t, want %t", name, got, c.want)
+		}
+	}
+}
+
+// TestOnlyAFreeClaimProvesALease guards against a lease on a primary whose successor may have been promoted: a claim on its
+// term, one that the store may have lost, and one that ended only now prove nothing.
+func TestOnlyAFreeClaimProvesALease(t *testing.T) {
+	const now = citronusher.Instant(time.Minute)
+	const term = 4
+	era := citronusher.StoreEra{Number: 2, SeenAt: now.Add(-time.Second)}
+	settled := citronusher.StoreEra{Number: 2, SeenAt: now.Add(-promotion.ClaimTTL)}
+	claim := func(era, term uint64, endMillis, storeMillis int64) citronusher.Claim {
+		return citronusher.Claim{Era: era, Term: term, EndMillis: endMillis, StoreMillis: storeMillis}
+	}
+	for name, c := range map[string]struct {
+		read             citronusher.Claim
+		era              citronusher.StoreEra
+		unclaimed, ended bool
+	}{
+		"claim on the term":               {claim(2, term, 9000, 8000), era, false, false},
+		"claim on the term, ending":       {claim(2, term, 9000, 9999), era, false, false},
+		"claim on the term, ended":        {claim(2, term, 9000, 10000), era, false, true},
+		"claim on the predecessor":        {claim(2, term-1, 9000, 8000), era, true, false},
+		"claim that was freed":            {claim(2, 0, 9000, 8000), era, true, false},
+		"none since the store returned":   {claim(0, 0, 0, 8000), era, false, false},
+		"older, since the store returned": {claim(1, term-1, 1, 8000), era, false, false},
+		"none, lost ones have ended":      {claim(0, 0, 0, 8000), settled, true, false},
+	} {
+		if got := promotion.Unclaimed(c.read, c.era, term, now); got != c.unclaimed {
+			t.Errorf("%s: unclaimed %t, want %t", name, got, c.unclaimed)
+		}
+		if got := promotion.Ended(c.read, c.era); got != c.ended {
+			t.Errorf("%s: ended %t, want %t", name, got, c.ended)
+		}
+	}
+}
--- a/promotion/promotion.go
+++ b/promotion/promotion.go
@@ -16,21 +16,12 @@
 )
 
 const (
-	// ClaimTTL is how long a claim prevents other daemons from claiming the group.
-	ClaimTTL = 4 * time.Second
-	// requestWindow is how long after the read request for the claim was sent the promotion may be requested.
-	requestWindow = 2200 * time.Millisecond
 	// minPromotionTime is the shortest time that the platform takes from a promotion request to its effect.
 	minPromotionTime = 300 * time.Millisecond
-	// statusAge is the maximum age of a status that is used together with a claim, when the claim is read.
-	statusAge = 1 * time.Second
 	// refusedDelay is how long an outage must last when the primary's machine refuses connections.
 	refusedDelay = 50 * time.Millisecond
 	// unresponsiveDelay is how long an outage must last, after the first failed probe, when the primary does not respond.
 	unresponsiveDelay = 100 * time.Millisecond
-	// registrationTime is how long the list of instances may lack some that hold leases, after the store returned from an
-	// older copy that lacks them. Those that reach the store register again sooner.
-	registrationTime = 20 * time.Second
 	// discoveryTimeout is how long a primary is searched for when none was known.
 	discoveryTimeout = 700 * time.Millisecond
 )
@@ -59,60 +50,6 @@
 	return now >= o.DetectedAt.Add(delay)
 }
 
-// ClaimableAt returns the earliest time at which self may replace the claim that was read from the store in era: at once
-// when self holds it or it has ended by the store's clock. A claim that was not written in that era, or no claim, does not
-// show which claims the store lost before the era. The last of them ends at most ClaimTTL after the era was seen.
-func ClaimableAt(
-	read citronusher.Claim, era citronusher.StoreEra, self string, now citronusher.Instant,
-) citronusher.Instant {
-	switch {
-	case read.Era != era.Number:
-		return max(now, era.SeenAt.Add(ClaimTTL))
-	case read.Holder == self:
-		return now
-	default:
-		return now.Add(time.Duration(max(0, read.EndMillis-read.StoreMillis)) * time.Millisecond)
-	}
-}
-
-// NextClaim returns the claim by which self replaces the one that was read from the store in era, to replace the primary of
-// term.
-func NextClaim(read citronusher.Claim, era citronusher.StoreEra, self string, term uint64) citronusher.Claim {
-	return citronusher.Claim{
-		Holder: self, Era: era.Number, Term: term, EndMillis: read.StoreMillis + ClaimTTL.Milliseconds(),
-	}
-}
-
-// Unclaimed reports whether the claim that was read from the store in era shows that, up to then, nobody could replace the
-// primary of term.
-func Unclaimed(read citronusher.Claim, era citronusher.StoreEra, term uint64, now citronusher.Instant) bool {
-	return read.Term < term && (read.Era == era.Number || now >= era.SeenAt.Add(ClaimTTL))
-}
-
-// Ended reports whether the claim ended so long before it was read that a promotion under it had taken effect, or never
-// will, when the statuses were requested that are used with it.
-func Ended(read citronusher.Claim, era citronusher.StoreEra) bool {
-	return read.Era == era.Number && read.EndMillis+statusAge.Milliseconds() <= read.StoreMillis
-}
-
-// ClaimDeadline returns the time until which nobody else can claim the group, when the read request for the claim was sent
-// at requestedAt.
-func ClaimDeadline(requestedAt citronusher.Instant) citronusher.Instant {
-	return requestedAt.Add(ClaimTTL)
-}
-
-// RequestDeadline returns the time until which a daemon may request a promotion under a claim, when the read request for the
-// claim was sent at requestedAt.
-func RequestDeadline(requestedAt citronusher.Instant) citronusher.Instant {
-	return requestedAt.Add(requestWindow)
-}
-
-// ListComplete reports whether the list of instances that is read from the store in era names every daemon that may hold a
-// lease, for the holder of claim.
-func ListComplete(claim citronusher.Claim, era citronusher.StoreEra, now citronusher.Instant) bool {
-	return claim.Era == era.Number && (!era.Restored || now >= era.SeenAt.Add(registrationTime))
-}
-
 // EarliestRequestAt returns the earliest time at which a promotion may be requested when the last replica paused
 // replication at pausedAt: at once when every daemon has released its lease, and otherwise so late that every lease that
 // was renewed before has expired when the promotion takes effect.
--- a/targets/establish.go
+++ b/targets/establish.go
@@ -85,8 +85,8 @@
 }
 
 // addClaim returns reports with the state of the claim that was read after them, with which they may establish a lease of
-// the term. A claim in an unknown state makes it request the reports of all members once more: a replica that restarted may have
-// forgotten a pause when it reported, and another one may have lost it later, when the promotion took effect.
+// the term. A claim in an unknown state makes it request the reports of all members once more: a replica that restarted may
+// have forgotten a pause when it reported, and another one may have lost it later, when the promotion took effect.
 func (g *Group) addClaim(term uint64, replies []memberReply, complete bool) ([]memberReply, claimState) {
 	claim := g.readClaim(term)
 	switch {
--- a/targets/pause.go
+++ b/targets/pause.go
@@ -109,8 +109,8 @@
 	return now >= m.group.unconfirmedUntil && now.Add(memberTimeout) < m.claimDeadline
 }
 
-// resumeReplication resumes replication at the members where it was paused, if it may. Otherwise the next holder of the claim
-// does. Errors are ignored.
+// resumeReplication resumes replication at the members where it was paused, if it may. Otherwise the next holder of the
+// claim does. Errors are ignored.
 func (m *promotionAttempt) resumeReplication() {
 	if !m.mayResume() {
 		return
