platform/store, storesync: a change of the restored store is not missed

Cause: a daemon follows the configuration by asking for the changes after the last version of the store that it knows. The restored store gives versions out again. A daemon that knew version 32 asked for the changes after 32. The store had been at version 29 and had meanwhile written three configurations as 30, 31 and 32; it had nothing to report, and no reason for 410 either. The next configuration would have repaired it.

Change: a version of the store has its era, and is compared within one era only. A feed response of another era is no basis for what has changed since: the configuration is read anew.

The stand-in's feed returned the requested version when nothing had changed; it returns the store's now, as the platform does, so that a known version can be above that of the copy. Stalled feeds are as before.

--- a/plan.go
+++ b/plan.go
@@ -89,6 +89,14 @@
 	Restored bool
 }
 
+// StoreVersion is a version of the store's content. Within an era numbers only rise; between eras they say nothing.
+type StoreVersion struct {
+	// Era is the number of the era.
+	Era uint64
+	// Number increases with each change.
+	Number uint64
+}
+
 // Claim is a daemon's exclusive permission to promote a member of a group. It is a row in the store.
 type Claim struct {
 	// Holder names the daemon.
@@ -113,9 +121,10 @@
 	// Era returns the store's newest era that any response has carried.
 	Era() StoreEra
 	// Plan returns the newest plan and the store's version of it.
-	Plan(ctx context.Context) (Plan, uint64, error)
-	// WaitForPlan waits for a plan that is newer than the store's version after. found is false when none appeared.
-	WaitForPlan(ctx context.Context, after uint64) (plan Plan, found bool, version uint64, err error)
+	Plan(ctx context.Context) (Plan, StoreVersion, error)
+	// WaitForPlan waits for a plan that is newer than the store's version after. found is false when none appeared. When the
+	// store is in another era it returns the newest plan.
+	WaitForPlan(ctx context.Context, after StoreVersion) (plan Plan, found bool, version StoreVersion, err error)
 	// Members returns the members of all groups.
 	Members(ctx context.Context) ([]MemberReport, error)
 	// Instances returns the registered daemons.
--- a/standin/users/store.go
+++ b/standin/users/store.go
@@ -240,16 +240,20 @@
 			return
 		case <-deadline:
 			s.mu.Lock()
-			s.writeEmptyPage(w, after)
+			if stalled {
+				s.writeStalledPage(w, after)
+			} else {
+				s.writePage(w, http.StatusOK, nil)
+			}
 			s.mu.Unlock()
 			return
 		}
 	}
 }
 
-// writeEmptyPage writes a feed response without changes. Its version is the requested one, so that a stalled feed does not
-// reveal newer versions. The caller must hold s.mu.
-func (s *Store) writeEmptyPage(w http.ResponseWriter, after uint64) {
+// writeStalledPage writes the response of a stalled feed: without changes, and with the requested version, so that it does
+// not reveal newer ones. The caller must hold s.mu.
+func (s *Store) writeStalledPage(w http.ResponseWriter, after uint64) {
 	version := s.version
 	s.version = after
 	s.writePage(w, http.StatusOK, nil)
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -154,10 +154,10 @@
 
 // planCursor is the state of reading plans from the store.
 type planCursor struct {
-	version uint64        // store version of the last plan read
-	known   bool          // whether version is set
-	delay   time.Duration // delay before the next request
-	start   startBackoff  // of the requests until a plan is known
+	version citronusher.StoreVersion // of the last plan read
+	known   bool                     // whether version is set
+	delay   time.Duration            // delay before the next request
+	start   startBackoff             // of the requests until a plan is known
 }
 
 func (f *Syncer) syncPlan() {
--- a/storesync/storesync_test.go
+++ b/storesync/storesync_test.go
@@ -19,6 +19,7 @@
 	mu           sync.Mutex
 	changed      chan struct{}
 	plan         citronusher.Plan
+	era          uint64
 	members      []citronusher.MemberReport
 	instances    []citronusher.Instance
 	calls        int
@@ -46,6 +47,11 @@
 	w.changed = make(chan struct{})
 }
 
+// version returns the store's version, which is that of the plan. The caller holds mu.
+func (w *fakeFleet) version() citronusher.StoreVersion {
+	return citronusher.StoreVersion{Era: w.era, Number: w.plan.Version}
+}
+
 func (w *fakeFleet) set(change func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -75,23 +81,25 @@
 	return fmt.Errorf("%w: cut off", citronusher.ErrUnavailable)
 }
 
-func (v instanceView) Plan(ctx context.Context) (citronusher.Plan, uint64, error) {
+func (v instanceView) Plan(ctx context.Context) (citronusher.Plan, citronusher.StoreVersion, error) {
 	if err := v.call(ctx); err != nil {
-		return citronusher.Plan{}, 0, err
+		return citronusher.Plan{}, citronusher.StoreVersion{}, err
 	}
 	v.fleet.mu.Lock()
 	defer v.fleet.mu.Unlock()
-	return v.fleet.plan, v.fleet.plan.Version, nil
+	return v.fleet.plan, v.fleet.version(), nil
 }
 
-func (v instanceView) WaitForPlan(ctx context.Context, after uint64) (citronusher.Plan, bool, uint64, error) {
+func (v instanceView) WaitForPlan(
+	ctx context.Context, after citronusher.StoreVersion,
+) (citronusher.Plan, bool, citronusher.StoreVersion, error) {
 	if err := v.call(ctx); err != nil {
 		return citronusher.Plan{}, false, after, err
 	}
 	v.fleet.mu.Lock()
-	changed, plan := v.fleet.changed, v.fleet.plan
+	changed, version := v.fleet.changed, v.fleet.version()
 	v.fleet.mu.Unlock()
-	if plan.Version <= after {
+	if version.Era == after.Era && version.Number <= after.Number {
 		select {
 		case <-changed:
 		case <-time.After(1600 * time.Millisecond):
@@ -103,7 +111,8 @@
 	if v.fleet.cutOff[v.name] {
 		return citronusher.Plan{}, false, after, citronusher.ErrUnavailable
 	}
-	return v.fleet.plan, v.fleet.plan.Version > after, v.fleet.plan.Version, nil
+	version = v.fleet.version()
+	return v.fleet.plan, version.Era != after.Era || version.Number > after.Number, version, nil
 }
 
 func (v instanceView) Members(ctx context.Context) ([]citronusher.MemberReport, error) {
