storesync, peer: a registration that the store lost is repeated

Cause: a daemon registers once, at its start, and takes it that the store loses nothing.

Change: each instance compares the store's era after each call, and that of the readers with each update (a new field of the response between daemons, absent in older ones). When the era rises it checks its registration, registers again if the store lacks it, and a reader lists the members at once. Events 305 and 306 tell the eras, the ages of what is known, and the lost registration.

What remains: a planned stop that the store lost leaves the stopped daemon listed, as a machine that is lost for good does.

--- a/events/events.go
+++ b/events/events.go
@@ -26,6 +26,8 @@
 	PeerFailed           Event = 302
 	PeerRecovered        Event = 303
 	PeerStale            Event = 304
+	RegistrationLost     Event = 305
+	ListsOutdated        Event = 306
 	HomeOpened           Event = 401
 	HomeClosed           Event = 402
 	ProbeFailed          Event = 403
@@ -86,6 +88,8 @@
 	PeerFailed:           {slog.LevelWarn, "request to a peer failed"},
 	PeerRecovered:        {slog.LevelInfo, "peer responds again"},
 	PeerStale:            {slog.LevelWarn, "peer's configuration is stale; the peer is not polled for a while"},
+	RegistrationLost:     {slog.LevelWarn, "store lost the registration of this daemon, which registers again"},
+	ListsOutdated:        {slog.LevelInfo, "store is in another era; the registration is checked and the lists are read again"},
 	HomeOpened:           {slog.LevelInfo, "home of a database opened"},
 	HomeClosed:           {slog.LevelInfo, "home of a database closed"},
 	ProbeFailed:          {slog.LevelWarn, "member stopped answering probes or connection attempts"},
--- a/peer/group.go
+++ b/peer/group.go
@@ -105,7 +105,7 @@
 	})
 	response := &peerpb.LearnResponse{
 		PlanAge: update.PlanAge.Microseconds(), MembersAge: update.MembersAge.Microseconds(),
-		Held: update.WaitedFor.Microseconds(),
+		Held: update.WaitedFor.Microseconds(), Era: update.Era,
 	}
 	var err error
 	if update.Plan.Version > m.GetVersion() {
@@ -187,7 +187,7 @@
 	}
 	m := response.Msg
 	update := citronusher.PeerUpdate{
-		PlanAge: micros(m.GetPlanAge()), MembersAge: micros(m.GetMembersAge()), WaitedFor: micros(m.GetHeld()),
+		PlanAge: micros(m.GetPlanAge()), MembersAge: micros(m.GetMembersAge()), WaitedFor: micros(m.GetHeld()), Era: m.GetEra(),
 	}
 	if body := m.GetPlan(); len(body) > 0 {
 		if err := decodeJSON(body, &update.Plan); err != nil {
--- a/plan.go
+++ b/plan.go
@@ -167,6 +167,8 @@
 	Instances []Instance
 	// WaitedFor is how long the request was delayed until there was a change.
 	WaitedFor time.Duration
+	// Era is the number of the store's newest era that it knows of; 0 when the store has no eras.
+	Era uint64
 }
 
 // PeerUpdateRequest is a request for the changes since the requester's state.
--- a/storesync/join.go
+++ b/storesync/join.go
@@ -105,6 +105,7 @@
 	ctx, cancel := backoff.context(f.ctx)
 	defer cancel()
 	known, complete, err := f.config.Store.SomeInstances(ctx)
+	f.observeStore()
 	switch {
 	case err != nil:
 		return nil, err
@@ -129,6 +130,7 @@
 		return nil, err
 	}
 	f.added = true
+	f.observeStore()
 	f.config.OnRegistered()
 	f.sleep(delay)
 	ctx, cancelReread := backoff.context(f.ctx)
--- a/storesync/reader.go
+++ b/storesync/reader.go
@@ -211,6 +211,7 @@
 		events.Log(f.config.Logger, events.PeerFailed, "peer", instance.Name(), "error", err)
 		return update, err
 	}
+	f.observeEra(update.Era)
 	answeredAt := sentAt.Add(update.WaitedFor)
 	f.applyPlan(update.Plan)
 	f.confirmPlan(answeredAt.Add(-update.PlanAge))
@@ -285,7 +286,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	update := citronusher.PeerUpdate{PlanAge: now.Sub(f.confirmedAt), MembersAge: now.Sub(f.listedAt)}
+	update := citronusher.PeerUpdate{PlanAge: now.Sub(f.confirmedAt), MembersAge: now.Sub(f.listedAt), Era: f.era}
 	if plan := f.Plan(); plan.Version > request.Plan {
 		update.Plan = plan
 	}
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -9,6 +9,9 @@
 // A starting instance reads only the instance list, and registers if the list lacks it. It receives the plan and the members
 // from a store reader, and is not synced before it has both. A reader's plan counts only if the store has confirmed it
 // recently, so that a restarted fleet never uses a plan or a member list from before its restart.
+//
+// The store may come back from a copy and lose registrations. Each instance then registers again if the store lacks it, and
+// the others keep the instance list that they have meanwhile.
 package storesync
 
 import (
@@ -91,12 +94,18 @@
 	listedAt    time.Time                  // when memberList was read from the store, by this or another instance
 	digests     digests                    // of the current lists
 	changed     chan struct{}              // closed and replaced when the plan or a list changes
+	era         uint64                     // newest era of the store; 0 until one is known
+	settledAt   time.Time                  // until when the store's instance lists are not applied, after a restore
+
+	registrationCheck chan struct{} // receives when this instance's registration may be lost
+	instancesReread   chan struct{} // receives when the instance list is to be read again
 }
 
 // New returns a Syncer and starts its goroutines, which run until Close.
 func New(config Config) *Syncer {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Syncer{config: config, ctx: ctx, cancel: cancel, refresh: make(chan struct{}, 1), changed: make(chan struct{})}
+	f.registrationCheck, f.instancesReread = make(chan struct{}, 1), make(chan struct{}, 1)
 	f.failing, f.retryAt, f.joined = map[string]bool{}, map[string]time.Time{}, make(chan struct{})
 	f.plan.Store(&citronusher.Plan{})
 	f.tasks.Go(func() error { f.syncPlan(); return nil })
@@ -113,10 +122,7 @@
 
 // Refresh requests that the member list is read again soon. It does not block.
 func (f *Syncer) Refresh() {
-	select {
-	case f.refresh <- struct{}{}:
-	default:
-	}
+	signal(f.refresh)
 }
 
 // sleep waits for d. It reports false if the Syncer is closed before that.
@@ -134,6 +140,7 @@
 // recordRequest counts a store request of the kind part and logs when such requests begin to fail or succeed again.
 func (f *Syncer) recordRequest(part string, err error) {
 	f.config.Meter.Polls().Inc(1)
+	f.observeStore()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	failed := err != nil
@@ -324,21 +331,26 @@
 
 func (f *Syncer) syncInstances() {
 	f.join()
+	f.tasks.Go(func() error { f.keepRegistered(); return nil })
 	wait := time.Duration(0)
 	startupIntervals := []time.Duration{time.Second, 2 * time.Second} //nolint:mnd // for instances that start together
 	for f.awaitDirectRead() {
 		instances, err := f.config.Store.Instances(f.ctx)
 		f.recordRequest("instances", err)
-		if err == nil {
+		unsettled := f.unsettledFor()
+		switch {
+		case err != nil:
+			wait = nextRetryDelay(wait)
+		case unsettled > 0:
+			wait = unsettled
+		default:
 			wait = f.nextInstanceInterval(len(instances))
 			if len(startupIntervals) > 0 {
 				wait, startupIntervals = startupIntervals[0], startupIntervals[1:]
 			}
 			f.setInstances(instances)
-		} else {
-			wait = nextRetryDelay(wait)
 		}
-		if !f.sleep(wait) {
+		if !f.awaitInstancesRead(wait) {
 			return
 		}
 	}
--- a/storesync/storesync_test.go
+++ b/storesync/storesync_test.go
@@ -20,6 +20,7 @@
 	changed      chan struct{}
 	plan         citronusher.Plan
 	era          uint64
+	seenEras     map[string]uint64 // by instance, the era of the last answered call
 	members      []citronusher.MemberReport
 	instances    []citronusher.Instance
 	calls        int
@@ -34,7 +35,7 @@
 	return &fakeFleet{
 		changed: make(chan struct{}), plan: citronusher.Plan{Version: 1},
 		members: []citronusher.MemberReport{{ID: "m"}}, cutOff: map[string]bool{},
-		unresponsive: map[string]bool{}, followers: map[string]*Syncer{},
+		unresponsive: map[string]bool{}, followers: map[string]*Syncer{}, era: 1, seenEras: map[string]uint64{},
 	}
 }
 
@@ -73,6 +74,7 @@
 	v.fleet.mu.Unlock()
 	if !cutOff {
 		time.Sleep(latency)
+		v.fleet.set(func() { v.fleet.seenEras[v.name] = v.fleet.era })
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
@@ -81,6 +83,13 @@
 	return fmt.Errorf("%w: cut off", citronusher.ErrUnavailable)
 }
 
+// Era returns the era of the last call of this instance that was answered.
+func (v instanceView) Era() citronusher.StoreEra {
+	v.fleet.mu.Lock()
+	defer v.fleet.mu.Unlock()
+	return citronusher.StoreEra{Number: v.fleet.seenEras[v.name]}
+}
+
 func (v instanceView) Plan(ctx context.Context) (citronusher.Plan, citronusher.StoreVersion, error) {
 	if err := v.call(ctx); err != nil {
 		return citronusher.Plan{}, citronusher.StoreVersion{}, err
