gateway, storesync: tests of a store that comes back from a copy

TestOlderPlanOfRestoredStoreIsNotApplied states that no daemon goes back to an older configuration while the operator's rows are not written again; no fault is known there.

--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -368,6 +368,10 @@
 		s.waitUntil("orders", func() bool { return len(s.platform.PromotionRequests()) >= s.number(fields[1]) })
 	case "await-ready":
 		s.waitUntil("ready", s.daemons[s.number(fields[1])-1].Ready)
+	case "await-listed": // until so many daemons are registered in each place
+		for _, table := range []string{"instances", "instances2", "instances3"} {
+			s.waitUntil("listed", func() bool { return s.platform.Count(table) == s.number(fields[1]) })
+		}
 	case "await-write": // until a session's writes succeed again
 		s.waitUntil("write", func() bool { return s.write(fields[1]) })
 	case "begin-write": // as await-write, beside the actions up to end-write
--- a/standin/users/restore.go
+++ b/standin/users/restore.go
@@ -54,6 +54,19 @@
 	return s.era
 }
 
+// Count returns the number of rows of a table.
+func (s *Store) Count(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, r := range s.rows {
+		if r.Table == table && !r.Deleted {
+			count++
+		}
+	}
+	return count
+}
+
 // restoreCopy returns to the copy and begins an era. The caller must hold s.mu.
 func (s *Store) restoreCopy() {
 	s.lost = nil
--- a/storesync/restore_test.go
+++ b/storesync/restore_test.go
@@ -95,3 +95,32 @@
 		}
 	})
 }
+
+// TestOlderPlanOfRestoredStoreIsNotApplied guards against a change that comes back older while the store has not written the
+// operator's rows again.
+func TestOlderPlanOfRestoredStoreIsNotApplied(t *testing.T) {
+	for _, count := range []int{6, 40} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newFakeFleet()
+			w.start(count)
+			defer w.close(t)
+			time.Sleep(5 * time.Second)
+			w.setPlan(3)
+			time.Sleep(time.Second)
+			w.set(func() { w.plan = citronusher.Plan{Version: 1} })
+			w.restore(w.instances)
+			for range 40 {
+				time.Sleep(100 * time.Millisecond)
+				if older := w.outdated(3, nil); len(older) > 0 {
+					t.Fatalf("another plan is active at %v", older)
+				}
+			}
+			w.setPlan(3)
+			w.setPlan(4)
+			time.Sleep(3 * time.Second)
+			if late := w.outdated(4, nil); len(late) > 0 {
+				t.Errorf("plan not active at %v", late)
+			}
+		})
+	}
+}
