--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -23,6 +23,7 @@
 	waitTimeout  = 15 * time.Second
 	copyDelay    = 60 * time.Millisecond
 	drainTimeout = 6 * time.Second
+	oddDepth     = 5000 // of a deeply nested entry; encoding/json accepts it
 )
 
 // retryAfterPattern matches the retry-after time in a message to a caller.
@@ -274,6 +275,27 @@
 
 func (s *script) member(text string) *users.Member { return s.group.Member(s.number(text) - 1) }
 
+// oddEntry returns the entry of a member that does not exist, complete but for one odd value.
+func (s *script) oddEntry(kind string) string {
+	address, capacity, sequence, extra := "127.0.0.1:1", "2", "3", "0"
+	switch kind {
+	case "nested":
+		extra = strings.Repeat("[", oddDepth) + strings.Repeat("]", oddDepth)
+	case "capacity":
+		capacity = "1e400"
+	case "sequence":
+		sequence = "1e400"
+	case "port":
+		address = "127.0.0.1:65536"
+	case "port-zero":
+		address = "127.0.0.1:0"
+	default:
+		s.t.Fatalf("unknown odd entry %s", kind)
+	}
+	return fmt.Sprintf(`{"Service":"group","Address":%q,"Zone":"zone","Version":"v1","Capacity":%s,"State":"ready",
+		"WarmupLeftMs":0,"Sequence":%s,"CurrentRole":"replica","born":1,"Extra":%s}`, address, capacity, sequence, extra)
+}
+
 func (s *script) action(fields []string) string {
 	switch fields[0] {
 	case "end":
@@ -333,6 +355,8 @@
 		s.platform.StallFeeds(fields[1] == "on")
 	case "garbage":
 		s.platform.PutBytes("servers", "i-garbage", []byte(fields[1]))
+	case "odd":
+		s.platform.PutBytes("servers", "i-odd-"+fields[1], []byte(s.oddEntry(fields[1])))
 	case "route":
 		s.platform.Route(fields[1], fields[2], "group", 1500, 4000)
 	case "drop-route":
--- a/standin/users/group.go
+++ b/standin/users/group.go
@@ -37,10 +37,11 @@
 	done    chan struct{}
 	tasks   sync.WaitGroup
 
-	mu      sync.Mutex
-	groups  map[string]*Group
-	version uint64
-	routes  map[string]map[string]any
+	mu       sync.Mutex
+	groups   map[string]*Group
+	version  uint64
+	sequence int // of the members' reports
+	routes   map[string]map[string]any
 }
 
 // New starts a platform that has no groups.
@@ -74,6 +75,7 @@
 func (p *Platform) report() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.sequence++
 	for _, g := range p.groups {
 		g.mu.Lock()
 		for _, m := range g.members {
@@ -85,8 +87,8 @@
 				state = "draining"
 			}
 			p.Put(tableMembers, m.id, map[string]any{
-				"Service": g.name, "Address": m.address, "Zone": "zone", "Capacity": p.options.Slots, "State": state,
-				"CurrentRole": m.role, "born": m.born,
+				"Service": g.name, "Address": m.address, "Zone": "zone", "Version": "v1", "Capacity": p.options.Slots,
+				"State": state, "WarmupLeftMs": 0, "Sequence": p.sequence, "CurrentRole": m.role, "born": m.born,
 			})
 		}
 		g.mu.Unlock()
