targets: an odd report of a peer is no member

What callers would see: while daemons of two versions run, one that reads the store for the others passes on a report that this version would reject, and the member that it names, which nobody reaches, delays every promotion of its group.

Cause: reports were checked where the store's rows are decoded, and not where a peer's update is applied. Slots below 1 or near the largest int came through too, and the product of slots and running statements in the choice of a member overflowed.

Change: Set.SetMembers, through which the reports of both sources pass, ignores those that MemberReport.Validate rejects.

--- a/targets/set.go
+++ b/targets/set.go
@@ -72,11 +72,13 @@
 	s.update()
 }
 
-// SetMembers replaces the members' reports.
+// SetMembers replaces the members' reports. Those that fail Validate are ignored: a peer with another version of the daemon
+// may have sent them.
 func (s *Set) SetMembers(reports []citronusher.MemberReport) {
+	valid := slices.DeleteFunc(slices.Clone(reports), func(r citronusher.MemberReport) bool { return r.Validate() != nil })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reports = reports
+	s.reports = valid
 	s.update()
 }
 
