platform/store: a valid plan is found before an invalid one

What callers would see: a configuration that an invalid one follows at once is never active.

Cause: of the changes in one response of the feed only the newest was decoded. Now the newest valid one is returned, with the error of the newest. TestInvalidPlanInTheFeed failed before in its first case; that the feed continues past an invalid plan held before.

--- a/plan.go
+++ b/plan.go
@@ -120,10 +120,11 @@
 type Store interface {
 	// Era returns the store's newest era that any response has carried.
 	Era() StoreEra
-	// Plan returns the newest plan and the store's version of it.
+	// Plan returns the newest plan and the store's version of it, also with ErrInvalid, when that plan is invalid.
 	Plan(ctx context.Context) (Plan, StoreVersion, error)
-	// WaitForPlan waits for a plan that is newer than the store's version after. found is false when none appeared. When the
-	// store is in another era it returns the newest plan.
+	// WaitForPlan waits for a plan that is newer than the store's version after. found is false when none appeared. With
+	// ErrInvalid the newest plan is invalid, and version is past it; found may be an older one. When the store is in another
+	// era it returns the newest plan.
 	WaitForPlan(ctx context.Context, after StoreVersion) (plan Plan, found bool, version StoreVersion, err error)
 	// Members returns the members of all groups.
 	Members(ctx context.Context) ([]MemberReport, error)
