storesync: an invalid plan counts as an answer of the store

What operators and callers would see, while op/config is invalid: a daemon that starts in a small fleet, or as a store reader, never gets ready, although the others have the previous plan. A daemon that begins to read the store (a deputy) is stale for those that poll it, requests the same row every 0.3 to 1.2 s, and logs each time that it is invalid and that the platform does not respond.

Cause: ErrInvalid was handled as a failed request: it set no cursor, so that the feed was not opened, and confirmed nothing.

Change: the cursor is set, the active plan stays and is confirmed, the feed goes on from there, and an instance without a plan fetches it from other instances.

--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -204,27 +204,40 @@
 		plan, cursor.version, err = f.config.Store.Plan(ctx)
 		cancel()
 	}
-	if !errors.Is(err, citronusher.ErrNotFound) {
+	invalid := errors.Is(err, citronusher.ErrInvalid)
+	switch {
+	case invalid:
+		f.recordRequest("plan", nil)
+	case !errors.Is(err, citronusher.ErrNotFound):
 		f.recordRequest("plan", err)
 	}
 	switch {
 	case errors.Is(err, citronusher.ErrNotFound):
 		cursor.delay = minRetryDelay
-	case errors.Is(err, citronusher.ErrInvalid):
-		events.Log(f.config.Logger, events.DocumentRejected, "error", err)
-		cursor.delay = nextRetryDelay(cursor.delay)
-	case err != nil && f.Plan().Version == 0:
+	case err != nil && !invalid && f.Plan().Version == 0:
 		f.fetchFromPeers()
 		cursor.delay = cursor.start.next()
-	case err != nil:
+	case err != nil && !invalid:
 		f.fetchFromPeers()
 		cursor.delay = nextRetryDelay(cursor.delay)
 	default:
 		cursor.known, cursor.delay = true, planInterval
-		if found {
-			f.applyPlan(plan)
-		}
-		f.confirmPlan(time.Now())
+		f.applyRead(plan, found, err)
+	}
+}
+
+// applyRead applies the result of a request to which the store responded. err is ErrInvalid if the newest plan is invalid:
+// the active plan then stays, and an instance that has none fetches it from other instances.
+func (f *Syncer) applyRead(plan citronusher.Plan, found bool, err error) {
+	if err != nil {
+		events.Log(f.config.Logger, events.DocumentRejected, "error", err)
+	}
+	if found {
+		f.applyPlan(plan)
+	}
+	f.confirmPlan(time.Now())
+	if f.Plan().Version == 0 {
+		f.fetchFromPeers()
 	}
 }
 
--- a/storesync/storesync_test.go
+++ b/storesync/storesync_test.go
@@ -21,6 +21,7 @@
 	plan         citronusher.Plan
 	era          uint64
 	seenEras     map[string]uint64 // by instance, the era of the last answered call
+	invalid      uint64            // version of an invalid configuration that the store holds in place of plan; 0 without
 	members      []citronusher.MemberReport
 	instances    []citronusher.Instance
 	calls        int
@@ -43,14 +44,27 @@
 func (w *fakeFleet) setPlan(version uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.plan = citronusher.Plan{Version: version}
+	w.plan, w.invalid = citronusher.Plan{Version: version}, 0
+	w.endWaits()
+}
+
+// setInvalidPlan publishes an invalid configuration and ends the plan requests that wait for one.
+func (w *fakeFleet) setInvalidPlan(version uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.invalid = version
+	w.endWaits()
+}
+
+// endWaits ends the plan requests that wait for a change. The caller holds mu.
+func (w *fakeFleet) endWaits() {
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
 
-// version returns the store's version, which is that of the plan. The caller holds mu.
+// version returns the store's version, which is that of the newest configuration. The caller holds mu.
 func (w *fakeFleet) version() citronusher.StoreVersion {
-	return citronusher.StoreVersion{Era: w.era, Number: w.plan.Version}
+	return citronusher.StoreVersion{Era: w.era, Number: max(w.plan.Version, w.invalid)}
 }
 
 func (w *fakeFleet) set(change func()) {
@@ -96,6 +110,9 @@
 	}
 	v.fleet.mu.Lock()
 	defer v.fleet.mu.Unlock()
+	if v.fleet.invalid > 0 {
+		return citronusher.Plan{}, v.fleet.version(), citronusher.ErrInvalid
+	}
 	return v.fleet.plan, v.fleet.version(), nil
 }
 
@@ -121,7 +138,15 @@
 		return citronusher.Plan{}, false, after, citronusher.ErrUnavailable
 	}
 	version = v.fleet.version()
-	return v.fleet.plan, version.Era != after.Era || version.Number > after.Number, version, nil
+	found := version.Era != after.Era || version.Number > after.Number
+	if v.fleet.invalid > 0 {
+		err := citronusher.ErrInvalid
+		if !found {
+			err = nil
+		}
+		return citronusher.Plan{}, false, version, err
+	}
+	return v.fleet.plan, found, version, nil
 }
 
 func (v instanceView) Members(ctx context.Context) ([]citronusher.MemberReport, error) {
