targets: a leaving primary is not used long after it said so, when the list came late

Cause: a leaving primary was used for 3.5 s after a list first showed that it leaves. The store was away for 2.5 s right after the member had said so, the list came 3.7 s later, and the promotion waited for a claim that the store may have lost.

Change: it is used for at most 6.5 s after a list last showed that it stays, so that a late list does not prolong its use. TestLeavingPrimaryIsNotUsedForLong has a case for each; two of them fail without the change.

--- a/targets/group.go
+++ b/targets/group.go
@@ -70,10 +70,12 @@
 
 func (g *Group) now() citronusher.Instant { return g.set.config.Clock.Instant() }
 
-// configure applies the members' latest reports and this instance's share of their connections. A member without a
+// configure applies the members' latest reports, received at reportsAt, and this instance's share of their connections. A member without a
 // report is removed only after missingTimeout, and not if every report is missing, because reports expire while the
 // platform's store is down.
-func (g *Group) configure(share connectionShare, reports []citronusher.MemberReport) {
+func (g *Group) configure(
+	share connectionShare, reports []citronusher.MemberReport, reportsAt citronusher.Instant,
+) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.home = share.home
@@ -81,7 +83,7 @@
 	listed := map[string]bool{}
 	for _, report := range reports {
 		listed[report.ID] = true
-		g.applyReport(report, now)
+		g.applyReport(report, reportsAt, now)
 		g.members[report.ID].setShare(share.connections, share.homes, share.home)
 	}
 	for id, m := range g.members {
@@ -105,13 +107,14 @@
 	g.wakeLoop()
 }
 
-// applyReport applies one member's report. If the member restarted or has a new address, its connections are closed. The
+// applyReport applies one member's report, received at receivedAt. If the member restarted or has a new address, its connections are closed. The
 // caller holds mu.
-func (g *Group) applyReport(report citronusher.MemberReport, now citronusher.Instant) {
+func (g *Group) applyReport(report citronusher.MemberReport, receivedAt, now citronusher.Instant) {
 	m := g.members[report.ID]
 	restarted := m != nil && (m.report.BornMillis != report.BornMillis || m.report.Address != report.Address)
 	if m == nil {
 		m = newMember(report)
+		m.stayedAt = receivedAt
 		g.members[report.ID] = m
 		events.Log(g.set.config.Logger, events.MemberAdded, "group", g.name, "member", report.ID, "address", report.Address,
 			"role", string(report.Role))
@@ -125,7 +128,7 @@
 		events.Log(g.set.config.Logger, events.MemberLeaving, "group", g.name, "member", report.ID)
 	}
 	if !report.Leaving {
-		m.leavingSince = 0
+		m.leavingSince, m.stayedAt = 0, receivedAt
 	}
 	m.report = report
 }
--- a/targets/member.go
+++ b/targets/member.go
@@ -14,7 +14,8 @@
 	maxBehindDelay  = 320 * time.Millisecond  // the same, after it has lagged behind several times in a row
 	fullBackoff     = 400 * time.Millisecond  // before another connection to a member that is out of connections is tried
 	downBackoff     = 500 * time.Millisecond  // before a member that did not answer is tried again
-	leavingTimeout  = 3500 * time.Millisecond // how long a leaving primary may still be used
+	leavingTimeout  = 3500 * time.Millisecond // how long a leaving primary may still be used after a list first showed that
+	stayedTimeout   = 6500 * time.Millisecond // the same, after a list last showed that it stays
 	missingTimeout  = 2500 * time.Millisecond // after which a member that the lists lack is removed
 	reservedDivisor = 3                       // one part in so many of the connections is kept free for restarted instances
 	minShare        = 2                       // connections per member that a home has at least, if there are that many
@@ -52,6 +53,7 @@
 	behindPosition citronusher.Position // lowest position that the member was found to lack
 	position       citronusher.Position // last log position that the member reported
 	leavingSince   citronusher.Instant  // since when the member reports to be leaving; 0 while it does not
+	stayedAt       citronusher.Instant  // when it last did not; it may be leaving from then on
 	missingSince   citronusher.Instant  // since when member lists lack the member; 0 while they have it
 	wrongMember    bool                 // another member answers at its address
 	down           bool                 // the member has not answered since the last failure
@@ -115,14 +117,14 @@
 	return oldest
 }
 
-// usable reports whether new requests may be sent to the member. A leaving member is usable only as the primary, and
-// only for leavingTimeout, in which another member is promoted.
+// usable reports whether new requests may be sent to the member. A leaving member is usable only as the primary, and only
+// for some time, in which another member is promoted. The list that shows it may be late, after an outage of the store.
 func (m *member) usable(now citronusher.Instant, primary bool) bool {
 	if m.down || m.wrongMember || m.outOfConnections(now) {
 		return false
 	}
 	if m.report.Leaving {
-		return primary && now < m.leavingSince.Add(leavingTimeout)
+		return primary && now < min(m.leavingSince.Add(leavingTimeout), m.stayedAt.Add(stayedTimeout))
 	}
 	return true
 }
--- a/targets/member_test.go
+++ b/targets/member_test.go
@@ -38,7 +38,7 @@
 	for _, id := range []string{"a", "b", "c"} {
 		reports = append(reports, citronusher.MemberReport{ID: id, Group: "g", Role: citronusher.RoleReplica, Slots: 2})
 	}
-	g.configure(connectionShare{connections: 16, homes: 6, home: true}, reports)
+	g.configure(connectionShare{connections: 16, homes: 6, home: true}, reports, 0)
 	g.primary = "a"
 	return g, timer
 }
@@ -218,9 +218,9 @@
 		{ID: "c", Group: "g", Role: citronusher.RoleReplica, Slots: 2},
 	}
 	share := connectionShare{connections: 16, homes: 6, home: true}
-	g.configure(share, reports)
+	g.configure(share, reports, g.now())
 	timer.now = timer.now.Add(missingTimeout)
-	g.configure(share, reports)
+	g.configure(share, reports, g.now())
 	if g.primary != "" || !g.lease.Closed() || g.unavailableSince == 0 {
 		t.Errorf("primary %q, lease closed %t, unavailable since %d", g.primary, g.lease.Closed(), g.unavailableSince)
 	}
@@ -249,3 +249,37 @@
 		}
 	}
 }
+
+// TestLeavingPrimaryIsNotUsedForLong guards against requests to a member that said long ago that it leaves: the list that
+// shows it may come late, after an outage of the store.
+func TestLeavingPrimaryIsNotUsedForLong(t *testing.T) {
+	g, clock := newTestGroup(t)
+	report := func(afterMillis int, leaving bool) {
+		clock.now = clock.now.Add(time.Duration(afterMillis) * time.Millisecond)
+		r := g.members["a"].report
+		r.Leaving = leaving
+		g.applyReport(r, clock.now, clock.now)
+	}
+	for _, c := range []struct {
+		name       string
+		lateMillis int // of the list that shows it, after the last one before
+		usedMillis int // after that
+	}{
+		{"listed in time", 2500, 3500},
+		{"listed after an outage", 4000, 2500},
+		{"listed after a long outage", 7000, 0},
+	} {
+		report(0, false)
+		listed, at := g.members["a"].report, clock.now
+		clock.now = clock.now.Add(time.Second)
+		g.applyReport(listed, at, clock.now) // the same list, applied again
+		report(c.lateMillis-1000, true)
+		end := clock.now.Add(time.Duration(c.usedMillis) * time.Millisecond)
+		if c.usedMillis > 0 && !g.members["a"].usable(end-1, true) {
+			t.Errorf("%s: not used until %d ms", c.name, c.usedMillis)
+		}
+		if g.members["a"].usable(end, true) {
+			t.Errorf("%s: used after %d ms", c.name, c.usedMillis)
+		}
+	}
+}
--- a/targets/set.go
+++ b/targets/set.go
@@ -53,6 +53,7 @@
 	groups     map[string]*Group
 	plan       citronusher.Plan
 	reports    []citronusher.MemberReport
+	reportsAt  citronusher.Instant // when reports were received
 	registered bool // the other instances can find this one and ask it to release leases
 
 	homes homes // has its own mutex; read while a group's mutex is held
@@ -78,6 +79,7 @@
 	valid := slices.DeleteFunc(slices.Clone(reports), func(r citronusher.MemberReport) bool { return r.Validate() != nil })
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reportsAt = s.config.Clock.Instant()
 	s.reports = valid
 	s.update()
 }
@@ -137,7 +139,7 @@
 	for name, plan := range s.plan.Groups {
 		share := s.shareOf(plan)
 		if s.groups[name] != nil || share.home {
-			s.openGroup(name).configure(share, byGroup[name])
+			s.openGroup(name).configure(share, byGroup[name], s.reportsAt)
 		}
 	}
 	for name, g := range s.groups {
@@ -203,7 +205,7 @@
 	reports := slices.DeleteFunc(slices.Clone(s.reports), func(r citronusher.MemberReport) bool { return r.Group != name })
 	g := s.openGroup(name)
 	g.recordUse()
-	g.configure(s.shareOf(plan), reports)
+	g.configure(s.shareOf(plan), reports, s.reportsAt)
 	return g, true
 }
 
