promotion, targets: a claim of an earlier era, or none, proves nothing, but reports of all replicas do

Callers could get a write acknowledged by the old primary (lost-claim-effective): 4 s after the store had returned without the claim of a promotion that had taken effect, one report of a replica that had not heard of it began a lease. And for 4 s after the start of a daemon its groups had no usable primary although all replicas answered, if no group had been claimed in the store's era (start-unclaimed).

Cause: a claim that is missing, or of an earlier era, was taken as held for 4 s and then as free. It says neither. Change: it is unknown, so that all replicas have to report.

--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -133,15 +133,29 @@
 	return s
 }
 
+// logger returns a logger that discards its records, unless CITRONUSHER_LOG is set.
+func logger() *slog.Logger {
+	if os.Getenv("CITRONUSHER_LOG") != "" {
+		return slog.New(slog.NewTextHandler(os.Stderr, nil))
+	}
+	return slog.New(slog.DiscardHandler)
+}
+
+// replaceDaemon starts another process under a daemon's name, as after a crash. What the old one has begun goes on.
+func (s *script) replaceDaemon(number int) {
+	g, err := gateway.New(daemonSettings(s.t, fmt.Sprintf("d%d", number), s.platform.Address()), logger())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.daemons = append(s.daemons, g)
+}
+
 func (s *script) startDaemons(d *datadriven.TestData) string {
 	count, err := strconv.Atoi(d.CmdArgs[0].Key)
 	if err != nil {
 		d.Fatalf(s.t, "%v", err)
 	}
-	logger := slog.New(slog.DiscardHandler)
-	if os.Getenv("CITRONUSHER_LOG") != "" {
-		logger = slog.New(slog.NewTextHandler(os.Stderr, nil))
-	}
+	logger := logger()
 	var started []*gateway.Gateway
 	for range count {
 		name := fmt.Sprintf("d%d", len(s.daemons)+1)
@@ -300,6 +314,8 @@
 	switch fields[0] {
 	case "end":
 		s.closeDaemon(s.number(fields[1]))
+	case "replace":
+		s.replaceDaemon(s.number(fields[1]))
 	case "stop":
 		s.daemons[s.number(fields[1])-1].Drain(drainTimeout)
 		s.closeDaemon(s.number(fields[1]))
@@ -397,9 +413,10 @@
 			s.waitUntil("listed", func() bool { return s.platform.Count(table) == s.number(fields[1]) })
 		}
 	case "await-write": // until a session's writes succeed again
-		s.waitUntil("write", func() bool { return s.write(fields[1]) })
+		s.waitUntil("write", func() bool { return write(s.callers[fields[1]]) })
 	case "begin-write": // as await-write, beside the actions up to end-write
-		s.writes.Go(func() { s.written.Store(waitFor(func() bool { return s.write(fields[1]) })) })
+		c := s.callers[fields[1]]
+		s.writes.Go(func() { s.written.Store(waitFor(func() bool { return write(c) })) })
 	case "end-write":
 		s.writes.Wait()
 		if !s.written.Load() {
@@ -422,8 +439,8 @@
 }
 
 // write reports whether a write of the session succeeds.
-func (s *script) write(session string) bool {
-	a, err := s.callers[session].Query("WRITE probe x")
+func write(c *users.Caller) bool {
+	a, err := c.Query("WRITE probe x")
 	return err == nil && a.Code == ""
 }
 
--- a/promotion/claim.go
+++ b/promotion/claim.go
@@ -43,15 +43,18 @@
 }
 
 // Unclaimed reports whether the claim that was read from the store in era shows that, up to then, nobody could replace the
-// primary of term.
-func Unclaimed(read citronusher.Claim, era citronusher.StoreEra, term uint64, now citronusher.Instant) bool {
-	return read.Term < term && (read.Era == era.Number || now >= era.SeenAt.Add(ClaimTTL))
+// primary of term. One that was not written in that era does not, because the store may have lost a later one.
+func Unclaimed(read citronusher.Claim, era citronusher.StoreEra, term uint64) bool {
+	return read.Era == era.Number && read.Term < term
 }
 
-// Ended reports whether the claim ended so long before it was read that a promotion under it had taken effect, or never
-// will, when the statuses were requested that are used with it.
-func Ended(read citronusher.Claim, era citronusher.StoreEra) bool {
-	return read.Era == era.Number && read.EndMillis+statusAge.Milliseconds() <= read.StoreMillis
+// Ended reports whether the claim that was read from the store in era, and any that the store lost, ended so long before that
+// a promotion under it had taken effect, or never will, when the statuses were requested that are used with it.
+func Ended(read citronusher.Claim, era citronusher.StoreEra, now citronusher.Instant) bool {
+	if read.Era != era.Number {
+		return !era.Restored || now >= era.SeenAt.Add(ClaimTTL+statusAge)
+	}
+	return read.EndMillis+statusAge.Milliseconds() <= read.StoreMillis
 }
 
 // ClaimDeadline returns the time until which nobody else can claim the group, when the read request for the claim was sent
--- a/promotion/claim_test.go
+++ b/promotion/claim_test.go
@@ -91,8 +91,9 @@
 func TestOnlyAFreeClaimProvesALease(t *testing.T) {
 	const now = citronusher.Instant(time.Minute)
 	const term = 4
-	era := citronusher.StoreEra{Number: 2, SeenAt: now.Add(-time.Second)}
-	settled := citronusher.StoreEra{Number: 2, SeenAt: now.Add(-promotion.ClaimTTL)}
+	era := citronusher.StoreEra{Number: 2, SeenAt: now.Add(-time.Second), Restored: true}
+	settled := citronusher.StoreEra{Number: 2, SeenAt: now.Add(-promotion.ClaimTTL - time.Second), Restored: true}
+	started := citronusher.StoreEra{Number: 2, SeenAt: now.Add(-time.Second)}
 	claim := func(era, term uint64, endMillis, storeMillis int64) citronusher.Claim {
 		return citronusher.Claim{Era: era, Term: term, EndMillis: endMillis, StoreMillis: storeMillis}
 	}
@@ -108,12 +109,14 @@
 		"claim that was freed":            {claim(2, 0, 9000, 8000), era, true, false},
 		"none since the store returned":   {claim(0, 0, 0, 8000), era, false, false},
 		"older, since the store returned": {claim(1, term-1, 1, 8000), era, false, false},
-		"none, lost ones have ended":      {claim(0, 0, 0, 8000), settled, true, false},
+		"none, lost ones have ended":      {claim(0, 0, 0, 8000), settled, false, true},
+		"older, lost ones have ended":     {claim(1, term-1, 1, 8000), settled, false, true},
+		"none, as far as is known":        {claim(0, 0, 0, 8000), started, false, true},
 	} {
-		if got := promotion.Unclaimed(c.read, c.era, term, now); got != c.unclaimed {
+		if got := promotion.Unclaimed(c.read, c.era, term); got != c.unclaimed {
 			t.Errorf("%s: unclaimed %t, want %t", name, got, c.unclaimed)
 		}
-		if got := promotion.Ended(c.read, c.era); got != c.ended {
+		if got := promotion.Ended(c.read, c.era, now); got != c.ended {
 			t.Errorf("%s: ended %t, want %t", name, got, c.ended)
 		}
 	}
--- a/targets/claim.go
+++ b/targets/claim.go
@@ -27,7 +27,7 @@
 		return "the claim could not be written: " + err.Error()
 	}
 	m.requestDeadline, m.claimDeadline = promotion.RequestDeadline(sentAt), promotion.ClaimDeadline(sentAt)
-	m.wasFree = promotion.Unclaimed(read, era, m.term, now)
+	m.wasFree = promotion.Unclaimed(read, era, m.term)
 	members, err := g.set.config.Store.Members(ctx)
 	if err != nil {
 		return "the members could not be read: " + err.Error()
--- a/targets/establish.go
+++ b/targets/establish.go
@@ -117,9 +117,9 @@
 	switch {
 	case err != nil:
 		return claimUnknown
-	case promotion.Unclaimed(read, era, term, g.now()):
+	case promotion.Unclaimed(read, era, term):
 		return claimFree
-	case promotion.Ended(read, era):
+	case promotion.Ended(read, era, g.now()):
 		return claimUnknown
 	default:
 		return claimHeld
