targets: a new process does not take over the claim of the one before

Cause: claims were held by a daemon's name, but what is known of a request ends with the process. Change: the holder of a claim is the process; a new one waits for the end of the claim as others do. Found by a review.

--- a/targets/claim.go
+++ b/targets/claim.go
@@ -19,10 +19,10 @@
 		return "the claim could not be read: " + err.Error()
 	}
 	era, now := g.set.config.Store.Era(), g.now()
-	if claimableAt := promotion.ClaimableAt(read, era, g.set.config.Self, now); claimableAt > now {
+	if claimableAt := promotion.ClaimableAt(read, era, g.set.holder, now); claimableAt > now {
 		return m.deferClaim(read, era, claimableAt.Sub(now))
 	}
-	next := promotion.NextClaim(read, era, g.set.config.Self, m.term)
+	next := promotion.NextClaim(read, era, g.set.holder, m.term)
 	if m.claim, err = g.set.config.Store.WriteClaim(ctx, g.name, read.Version, next); err != nil {
 		return "the claim could not be written: " + err.Error()
 	}
--- a/targets/set.go
+++ b/targets/set.go
@@ -8,7 +8,9 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -48,13 +50,14 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	tasks  errgroup.Group
+	holder string // names this process in claims: a promotion that an earlier one requested may still take effect
 
 	mu         sync.Mutex
 	groups     map[string]*Group
 	plan       citronusher.Plan
 	reports    []citronusher.MemberReport
 	reportsAt  citronusher.Instant // when reports were received
-	registered bool // the other instances can find this one and ask it to release leases
+	registered bool                // the other instances can find this one and ask it to release leases
 
 	homes homes // has its own mutex; read while a group's mutex is held
 }
@@ -62,7 +65,8 @@
 // New returns a Set without groups. It serves the groups of the plan passed to Apply, until Close.
 func New(config Config) *Set {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Set{config: config, ctx: ctx, cancel: cancel, groups: map[string]*Group{}}
+	holder := fmt.Sprintf("%s/%x", config.Self, rand.Uint64()) //nolint:gosec // need not be secret
+	return &Set{config: config, ctx: ctx, cancel: cancel, holder: holder, groups: map[string]*Group{}}
 }
 
 // Apply replaces the plan: it opens, reconfigures and closes groups accordingly.
