--- a/targets/group.go
+++ b/targets/group.go
@@ -70,9 +70,9 @@
 
 func (g *Group) now() citronusher.Instant { return g.set.config.Clock.Instant() }
 
-// configure applies the members' latest reports, received at reportsAt, and this instance's share of their connections. A member without a
-// report is removed only after missingTimeout, and not if every report is missing, because reports expire while the
-// platform's store is down.
+// configure applies the members' latest reports, received at reportsAt, and this instance's share of their connections. A
+// member without a report is removed only after missingTimeout, and not if every report is missing, because reports expire
+// while the platform's store is down.
 func (g *Group) configure(
 	share connectionShare, reports []citronusher.MemberReport, reportsAt citronusher.Instant,
 ) {
@@ -107,8 +107,8 @@
 	g.wakeLoop()
 }
 
-// applyReport applies one member's report, received at receivedAt. If the member restarted or has a new address, its connections are closed. The
-// caller holds mu.
+// applyReport applies one member's report, received at receivedAt. If the member restarted or has a new address, its
+// connections are closed. The caller holds mu.
 func (g *Group) applyReport(report citronusher.MemberReport, receivedAt, now citronusher.Instant) {
 	m := g.members[report.ID]
 	restarted := m != nil && (m.report.BornMillis != report.BornMillis || m.report.Address != report.Address)
@@ -125,7 +125,8 @@
 	}
 	if report.Leaving && m.leavingSince == 0 {
 		m.leavingSince = now
-		events.Log(g.set.config.Logger, events.MemberLeaving, "group", g.name, "member", report.ID)
+		events.Log(g.set.config.Logger, events.MemberLeaving, "group", g.name, "member", report.ID, "age",
+			now.Sub(m.stayedAt).Milliseconds())
 	}
 	if !report.Leaving {
 		m.leavingSince, m.stayedAt = 0, receivedAt
--- a/targets/renew.go
+++ b/targets/renew.go
@@ -36,8 +36,8 @@
 }
 
 // renewIfNeeded starts a renewal of the lease if one is due. The lease renewer of the group renews at a replica, also while
-// no request uses the primary: a lease that has expired needs the store, or all replicas, to begin again. The other instances
-// take over its renewals while requests use the primary. The caller holds mu.
+// no request uses the primary: a lease that has expired needs the store, or all replicas, to begin again. The other
+// instances take over its renewals while requests use the primary. The caller holds mu.
 func (g *Group) renewIfNeeded(now citronusher.Instant) {
 	renewer, isPeer := g.set.leaseRenewer(g.name)
 	used := !isPeer || g.queue.PrimaryLen() > 0 || now < g.primaryUsedAt.Add(leaseIdleTimeout)
