--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -129,7 +129,9 @@
 	g.syncer = storesync.New(storesync.Config{
 		Self: citronusher.NewInstance(s.Name(), g.peerServer.Address(), s.Domain(), citronusher.InstanceLive).
 			WithCapacity(s.Cores()),
-		FirstStart: s.FirstStart(), Store: g.store, OnPlan: g.targets.Apply, OnMembers: g.targets.SetMembers,
+		FirstStart: s.FirstStart(), Store: g.store, OnPlan: g.targets.Apply, OnMembers: func(members []citronusher.MemberReport, listedAt time.Time) {
+			g.targets.SetMembers(members, clock.Instant().Add(-time.Since(listedAt)))
+		},
 		OnInstances:  g.targets.SetInstances,
 		OnRegistered: g.targets.SetRegistered, Peers: g.peerClient, Logger: g.logger, Meter: g.meter,
 	})
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -52,8 +52,9 @@
 	// OnPlan is called with each newer plan. OnPlan, OnMembers and OnInstances are called while the Syncer is locked, so
 	// they must not call AwaitUpdate or Close.
 	OnPlan func(citronusher.Plan)
-	// OnMembers is called with the member list each time that it is received or confirmed as unchanged.
-	OnMembers func([]citronusher.MemberReport)
+	// OnMembers is called with the member list, and when this or another instance read it from the store, each time that it is
+	// received or confirmed as unchanged.
+	OnMembers func(members []citronusher.MemberReport, listedAt time.Time)
 	// OnInstances is called with each instance list received.
 	OnInstances func([]citronusher.Instance)
 	// OnRegistered is called once this instance is registered in the store.
@@ -91,7 +92,7 @@
 	retryAt     map[string]time.Time       // by reader name, until when it is not polled after a failure or a stale answer
 	directUntil time.Time                  // until when a deputy reads the store because no reader is usable
 	memberList  []citronusher.MemberReport // the current member list
-	listedAt    time.Time                  // when memberList was read from the store, by this or another instance
+	listedAt    time.Time                  // when memberList was requested from the store, by this or another instance
 	digests     digests                    // of the current lists
 	changed     chan struct{}              // closed and replaced when the plan or a list changes
 	era         uint64                     // newest era of the store; 0 until one is known
@@ -283,7 +284,7 @@
 		f.digests.members = digest
 		f.notifyChanged()
 	}
-	f.config.OnMembers(members)
+	f.config.OnMembers(members, listedAt)
 	f.membersReceived.Store(true)
 }
 
@@ -296,7 +297,7 @@
 		return
 	}
 	f.listedAt = listedAt
-	f.config.OnMembers(f.memberList)
+	f.config.OnMembers(f.memberList, listedAt)
 }
 
 func (f *Syncer) syncMembers() {
@@ -334,10 +335,11 @@
 func (f *Syncer) readMembers(start *startBackoff) error {
 	ctx, cancel := f.startContext(start, f.membersReceived.Load())
 	defer cancel()
+	listedAt := time.Now()
 	members, err := f.config.Store.Members(ctx)
 	f.recordRequest("members", err)
 	if err == nil {
-		f.setMembers(members, time.Now())
+		f.setMembers(members, listedAt)
 	}
 	return err
 }
--- a/storesync/storesync_test.go
+++ b/storesync/storesync_test.go
@@ -227,7 +227,7 @@
 	v := instanceView{fleet: w, name: instance.Name()}
 	f := New(Config{
 		Self: instance, FirstStart: firstStart, Store: v, Peers: v,
-		OnPlan: func(citronusher.Plan) {}, OnMembers: func([]citronusher.MemberReport) {},
+		OnPlan: func(citronusher.Plan) {}, OnMembers: func([]citronusher.MemberReport, time.Time) {},
 		OnInstances: func([]citronusher.Instance) {}, OnRegistered: func() {}, Logger: slog.New(slog.DiscardHandler),
 		Meter: meter.New(),
 	})
--- a/targets/claim.go
+++ b/targets/claim.go
@@ -28,11 +28,12 @@
 	}
 	m.requestDeadline, m.claimDeadline = promotion.RequestDeadline(sentAt), promotion.ClaimDeadline(sentAt)
 	m.wasFree = promotion.Unclaimed(read, era, m.term)
+	listedAt := g.now()
 	members, err := g.set.config.Store.Members(ctx)
 	if err != nil {
 		return "the members could not be read: " + err.Error()
 	}
-	g.set.SetMembers(members)
+	g.set.SetMembers(members, listedAt)
 	return ""
 }
 
--- a/targets/group.go
+++ b/targets/group.go
@@ -70,7 +70,7 @@
 
 func (g *Group) now() citronusher.Instant { return g.set.config.Clock.Instant() }
 
-// configure applies the members' latest reports, received at reportsAt, and this instance's share of their connections. A
+// configure applies the members' latest reports, listed at reportsAt, and this instance's share of their connections. A
 // member without a report is removed only after missingTimeout, and not if every report is missing, because reports expire
 // while the platform's store is down.
 func (g *Group) configure(
@@ -107,14 +107,14 @@
 	g.wakeLoop()
 }
 
-// applyReport applies one member's report, received at receivedAt. If the member restarted or has a new address, its
+// applyReport applies one member's report, listed at listedAt. If the member restarted or has a new address, its
 // connections are closed. The caller holds mu.
-func (g *Group) applyReport(report citronusher.MemberReport, receivedAt, now citronusher.Instant) {
+func (g *Group) applyReport(report citronusher.MemberReport, listedAt, now citronusher.Instant) {
 	m := g.members[report.ID]
 	restarted := m != nil && (m.report.BornMillis != report.BornMillis || m.report.Address != report.Address)
 	if m == nil {
 		m = newMember(report)
-		m.stayedAt = receivedAt
+		m.stayedAt = listedAt
 		g.members[report.ID] = m
 		events.Log(g.set.config.Logger, events.MemberAdded, "group", g.name, "member", report.ID, "address", report.Address,
 			"role", string(report.Role))
@@ -129,7 +129,7 @@
 			now.Sub(m.stayedAt).Milliseconds())
 	}
 	if !report.Leaving {
-		m.leavingSince, m.stayedAt = 0, receivedAt
+		m.leavingSince, m.stayedAt = 0, listedAt
 	}
 	m.report = report
 }
--- a/targets/set.go
+++ b/targets/set.go
@@ -56,7 +56,7 @@
 	groups     map[string]*Group
 	plan       citronusher.Plan
 	reports    []citronusher.MemberReport
-	reportsAt  citronusher.Instant // when reports were received
+	reportsAt  citronusher.Instant // when reports were read from the store
 	registered bool                // the other instances can find this one and ask it to release leases
 
 	homes homes // has its own mutex; read while a group's mutex is held
@@ -79,11 +79,11 @@
 
 // SetMembers replaces the members' reports. Those that fail Validate are ignored: a peer with another version of the daemon
 // may have sent them.
-func (s *Set) SetMembers(reports []citronusher.MemberReport) {
+func (s *Set) SetMembers(reports []citronusher.MemberReport, listedAt citronusher.Instant) {
 	valid := slices.DeleteFunc(slices.Clone(reports), func(r citronusher.MemberReport) bool { return r.Validate() != nil })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reportsAt = s.config.Clock.Instant()
+	s.reportsAt = listedAt
 	s.reports = valid
 	s.update()
 }
--- a/targets/set_test.go
+++ b/targets/set_test.go
@@ -34,7 +34,7 @@
 		odd := good
 		odd.ID = "odd"
 		change(&odd)
-		s.SetMembers([]citronusher.MemberReport{good, odd})
+		s.SetMembers([]citronusher.MemberReport{good, odd}, 0)
 		g, _ := s.Group("g")
 		g.mu.Lock()
 		if len(g.members) != 1 || g.members["a"] == nil {
