prove: TestUsersFrozenDaemon writes until the outage is noticed

It failed once in eight runs beside load on the code before this work, and waited for another primary in vain: its only write had failed at the frozen daemon, which is tried first, so that no daemon had sent anything to the primary. The test now writes until another member is the primary, and each of these writes must still fail.

--- a/prove/users_test.go
+++ b/prove/users_test.go
@@ -243,7 +243,13 @@
 	if a, err := other.Query("WRITE x between"); err != nil || a.Code == "" { // a failed request is what detects the outage
 		t.Fatalf("write to an unreachable primary: %+v, %v, want an error code", a, err)
 	}
-	s.waitFor("another primary", func() bool { return s.group.Primary() != old })
+	s.waitFor("another primary", func() bool { // the first request may have failed at the frozen daemon, which detects nothing
+		before := s.group.Primary()
+		if a, err := other.Query("WRITE x between"); before == old && s.group.Primary() == old && (err != nil || a.Code == "") {
+			t.Fatalf("write to an unreachable primary: %+v, %v, want an error code", a, err)
+		}
+		return s.group.Primary() != old
+	})
 	old.SetUnresponsive(false)
 	s.waitFor("a write", func() bool {
 		a, err := other.Query("WRITE x new")
