--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -129,7 +129,8 @@
 	g.syncer = storesync.New(storesync.Config{
 		Self: citronusher.NewInstance(s.Name(), g.peerServer.Address(), s.Domain(), citronusher.InstanceLive).
 			WithCapacity(s.Cores()),
-		FirstStart: s.FirstStart(), Store: g.store, OnPlan: g.targets.Apply, OnMembers: func(members []citronusher.MemberReport, listedAt time.Time) {
+		FirstStart: s.FirstStart(), Store: g.store, OnPlan: g.targets.Apply,
+		OnMembers: func(members []citronusher.MemberReport, listedAt time.Time) {
 			g.targets.SetMembers(members, clock.Instant().Add(-time.Since(listedAt)))
 		},
 		OnInstances:  g.targets.SetInstances,
