targets, promotion: what the claim of another era shows is decided in one place

A claim of another era is unknown at once, not only when each lost one has ended: the reports of all replicas decide. Only a home keeps the lease on an unused group.

--- a/plan.go
+++ b/plan.go
@@ -99,7 +99,7 @@
 
 // Claim is a daemon's exclusive permission to promote a member of a group. It is a row in the store.
 type Claim struct {
-	// Holder names the daemon.
+	// Holder names the daemon's process.
 	Holder string
 	// Token increases with each claim of any group, through all eras of the store.
 	Token uint64
--- a/promotion/claim.go
+++ b/promotion/claim.go
@@ -48,12 +48,9 @@
 	return read.Era == era.Number && read.Term < term
 }
 
-// Ended reports whether the claim that was read from the store in era, and any that the store lost, ended so long before
-// that a promotion under it had taken effect, or never will, when the statuses were requested that are used with it.
-func Ended(read citronusher.Claim, era citronusher.StoreEra, now citronusher.Instant) bool {
-	if read.Era != era.Number {
-		return !era.Restored || now >= era.SeenAt.Add(ClaimTTL+statusAge)
-	}
+// Ended reports whether the claim ended so long before it was read that a promotion under it had taken effect, or never
+// will, when the statuses were requested that are used with it.
+func Ended(read citronusher.Claim) bool {
 	return read.EndMillis+statusAge.Milliseconds() <= read.StoreMillis
 }
 
--- a/targets/establish.go
+++ b/targets/establish.go
@@ -25,8 +25,8 @@
 type claimState int
 
 const (
-	// claimUnknown means that the store did not answer, or that the claim has ended: nobody requests a promotion under it
-	// any more, but one may have taken effect.
+	// claimUnknown means that the store did not answer or may have lost the claim, or that the claim has ended: nobody
+	// requests a promotion under it any more, but one may have taken effect.
 	claimUnknown claimState = iota
 	// claimFree means that nobody could promote a successor so far.
 	claimFree
@@ -115,11 +115,11 @@
 	read, err := g.set.config.Store.ReadClaim(ctx, g.name)
 	era := g.set.config.Store.Era()
 	switch {
-	case err != nil:
+	case err != nil, read.Era != era.Number:
 		return claimUnknown
 	case promotion.Unclaimed(read, era, term):
 		return claimFree
-	case promotion.Ended(read, era, g.now()):
+	case promotion.Ended(read):
 		return claimUnknown
 	default:
 		return claimHeld
--- a/targets/renew.go
+++ b/targets/renew.go
@@ -40,7 +40,7 @@
 // instances take over its renewals while requests use the primary. The caller holds mu.
 func (g *Group) renewIfNeeded(now citronusher.Instant) {
 	renewer, isPeer := g.set.leaseRenewer(g.name)
-	used := !isPeer || g.queue.PrimaryLen() > 0 || now < g.primaryUsedAt.Add(leaseIdleTimeout)
+	used := !isPeer && g.home || g.queue.PrimaryLen() > 0 || now < g.primaryUsedAt.Add(leaseIdleTimeout)
 	due := now >= g.renewalSentAt.Add(renewInterval) && now >= g.nextRenewalAt
 	if g.renewing || g.lease.Term() == 0 || g.lease.Closed() || !used || !due {
 		return
