targets: a group without a claim is recorded as free in each era of the store

The daemon that renews the lease writes once in each era that the group is free: a lease that is valid when each lost claim has ended proves it. It costs a read and a write for each group and era.

--- a/promotion/claim.go
+++ b/promotion/claim.go
@@ -48,6 +48,11 @@
 	return read.Era == era.Number && read.Term < term
 }
 
+// Settled reports whether each claim that the store lost before era has ended.
+func Settled(era citronusher.StoreEra, now citronusher.Instant) bool {
+	return now >= era.SeenAt.Add(ClaimTTL)
+}
+
 // Ended reports whether the claim ended so long before it was read that a promotion under it had taken effect, or never
 // will, when the statuses were requested that are used with it.
 func Ended(read citronusher.Claim) bool {
--- a/targets/establish.go
+++ b/targets/establish.go
@@ -154,3 +154,34 @@
 	g.dispatch(g.now())
 	return true
 }
+
+// recordUnclaimed writes, once in each era of the store, that nobody has replaced the primary, so that daemons without a
+// lease need not hear all replicas. A lease that is valid when each lost claim has ended proves it until the row changes.
+func (g *Group) recordUnclaimed() {
+	store := g.set.config.Store
+	era := store.Era()
+	g.mu.Lock()
+	due := g.recordedEra != era.Number && !g.promoting && promotion.Settled(era, g.now())
+	g.mu.Unlock()
+	if !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(g.set.ctx, claimReadTimeout)
+	defer cancel()
+	read, err := store.ReadClaim(ctx, g.name)
+	if err != nil {
+		return
+	}
+	if read.Era != era.Number {
+		if !g.Ready() {
+			return
+		}
+		free := citronusher.Claim{Holder: g.set.holder, Era: era.Number, EndMillis: read.StoreMillis}
+		if _, err := store.WriteClaim(ctx, g.name, read.Version, free); err != nil {
+			return
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.recordedEra = era.Number
+}
--- a/targets/renew.go
+++ b/targets/renew.go
@@ -105,7 +105,10 @@
 	for _, m := range g.renewalReplicas() {
 		r := g.query(m, replicaRenewalTimeout, requestStatus)
 		switch g.observeRenewal(m, r) {
-		case lease.Renewed, lease.Superseded:
+		case lease.Renewed:
+			g.recordUnclaimed()
+			return
+		case lease.Superseded:
 			return
 		case lease.Unproven:
 			unproven = append(unproven, r)
