targets: a promotion does not wait for a silent primary's status, and frees its claim in any case

Callers of a group whose primary is silent waited up to 300 ms longer for the next one: the check that replicas are still paused asked every member. It asks the paused ones. An abandoned attempt freed its claim only within its own 4 s, so that the claim stayed on the term after slow calls of the store, and daemons without a lease needed the reports of all replicas. Found by a review, by reading; not measured.

--- a/targets/claim.go
+++ b/targets/claim.go
@@ -9,6 +9,9 @@
 	"citronusher.example/citronusher/promotion"
 )
 
+// disclaimTimeout is the timeout of freeing a claim. It does not depend on how much of the attempt's time is left.
+const disclaimTimeout = 1 * time.Second
+
 // claimGroup writes this instance's claim on the group to the store, which excludes promotions by others, and reads the
 // members.
 func (m *promotionAttempt) claimGroup(ctx context.Context) string {
@@ -52,11 +55,13 @@
 
 // disclaim records in the claim that no promotion was requested under it, so that it does not keep daemons from establishing
 // leases on the primary. It does nothing if a promotion may have been requested, under this claim or an earlier one.
-func (m *promotionAttempt) disclaim(ctx context.Context) {
+func (m *promotionAttempt) disclaim() {
 	if m.requested || !m.wasFree || m.claim.Version == 0 {
 		return
 	}
 	g := m.group
+	ctx, cancel := context.WithTimeout(g.set.ctx, disclaimTimeout)
+	defer cancel()
 	claim := m.claim
 	claim.Term = 0
 	if _, err := g.set.config.Store.WriteClaim(ctx, g.name, m.claim.Version, claim); err != nil {
--- a/targets/pause.go
+++ b/targets/pause.go
@@ -72,17 +72,24 @@
 // checkStillPaused returns a reason if a replica may have restarted before the last one was paused, so that it forgot the
 // pause and has renewed leases since. One that is too busy to answer is known by its connections not to have restarted.
 func (m *promotionAttempt) checkStillPaused() string {
-	checked := map[string]memberReply{}
-	for _, r := range m.group.queryAll(requestStatus) {
-		checked[r.id] = r
+	paused := map[*member]memberReply{}
+	for _, r := range m.paused {
+		paused[r.member] = r
 	}
-	for _, paused := range m.paused {
-		r, ok := checked[paused.id]
-		busy := r.err != nil && citronusher.AsFailure(r.err).Reason() == citronusher.ReasonFull && r.since <= paused.sentAt
-		if !ok || r.err != nil && !busy || r.err == nil && r.status.PausedTerm <= m.term {
-			return "replication at member " + paused.id + " may not be paused any more"
+	replies := m.group.querySome(requestStatus, func(other *member) bool {
+		_, ok := paused[other]
+		return ok
+	})
+	for _, r := range replies {
+		busy := r.err != nil && citronusher.AsFailure(r.err).Reason() == citronusher.ReasonFull
+		runs := busy && r.since <= paused[r.member].sentAt
+		if r.err != nil && !runs || r.err == nil && r.status.PausedTerm <= m.term {
+			return "replication at member " + r.id + " may not be paused any more"
 		}
 	}
+	if len(replies) < len(paused) {
+		return "a paused member was removed"
+	}
 	return ""
 }
 
--- a/targets/promote.go
+++ b/targets/promote.go
@@ -76,7 +76,7 @@
 	ctx, cancel := context.WithTimeout(g.set.ctx, promotionTimeout)
 	defer cancel()
 	reason := m.try(ctx)
-	m.disclaim(ctx)
+	m.disclaim()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.promoting = false
