--- a/standin/users/restore_test.go
+++ b/standin/users/restore_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -94,14 +95,13 @@
 	s := NewStore()
 	defer s.Close()
 	s.PutBytes(tableOperator, "config", []byte("1"))
-	status := make(chan int)
-	go func() {
-		got, _, _ := storeCall(t, s, http.MethodGet, "/rows-feed?Table=op&after=1&WaitMs=9000", "")
-		status <- got
-	}()
+	var status int
+	var feed sync.WaitGroup
+	feed.Go(func() { status, _, _ = storeCall(t, s, http.MethodGet, "/rows-feed?Table=op&after=1&WaitMs=9000", "") })
 	time.Sleep(100 * time.Millisecond)
 	s.Restore()
-	if got := <-status; got != 0 {
-		t.Errorf("an open feed request was answered with %d", got)
+	feed.Wait()
+	if status != 0 {
+		t.Errorf("an open feed request was answered with %d", status)
 	}
 }
