--- a/soak/fault.go
+++ b/soak/fault.go
@@ -29,6 +29,8 @@
 	KindStore          Kind = "store"    // the store fails every call with 503
 	KindThrottle       Kind = "throttle" // the store rejects every call with 429 (too many requests)
 	KindFeedSilent     Kind = "feed"     // the store's change feeds deliver no changes
+	KindRestore        Kind = "restore"  // the store returns from a copy that is as old as the fault lasts
+	KindLostPromotion  Kind = "promote"  // promotion requests are carried out, but not answered
 	KindLostAnswer     Kind = "answer"   // the primary runs a statement and its answer is lost
 	KindConnectionLoss Kind = "break"    // the primary closes a connection before it runs a statement
 	KindBusy           Kind = "busy"     // the primary rejects statements as busy
@@ -38,14 +40,16 @@
 
 var kinds = []Kind{
 	KindKill, KindStop, KindPause, KindCrash, KindReplica, KindUnreachable, KindCut, KindReplicationCut, KindStore,
-	KindThrottle, KindFeedSilent, KindLostAnswer, KindConnectionLoss, KindBusy, KindFail, KindRoute,
+	KindThrottle, KindFeedSilent, KindRestore, KindLostPromotion, KindLostAnswer, KindConnectionLoss, KindBusy, KindFail,
+	KindRoute,
 }
 
 const (
 	maxFaultGap        = 900 * time.Millisecond // between the start times of two faults
 	minFaultDuration   = 200 * time.Millisecond
 	maxFaultDuration   = 2500 * time.Millisecond
-	rejectedStatements = 5 // number of statements that a KindBusy or KindFail fault affects
+	restoreTime        = 200 * time.Millisecond // for which the store is away before it returns from a copy
+	rejectedStatements = 5                      // number of statements that a KindBusy or KindFail fault affects
 )
 
 // Fault is one scheduled fault of a run.
@@ -100,8 +104,10 @@
 	switch f.Kind {
 	case KindKill, KindStop, KindPause:
 		return fmt.Sprintf("daemon %d", f.Index)
-	case KindStore, KindThrottle, KindFeedSilent:
+	case KindStore, KindThrottle, KindFeedSilent, KindRestore:
 		return "store"
+	case KindLostPromotion:
+		return "promotion"
 	case KindRoute:
 		return "route"
 	default:
@@ -129,6 +135,17 @@
 		r.platform.StallFeeds(true)
 		time.Sleep(f.Duration)
 		r.platform.StallFeeds(false)
+	case KindRestore:
+		r.platform.Copy()
+		time.Sleep(f.Duration)
+		r.platform.Fail(http.StatusServiceUnavailable)
+		time.Sleep(restoreTime)
+		r.platform.Restore()
+		r.platform.Fail(0)
+	case KindLostPromotion:
+		r.platform.LosePromotionAnswers(true)
+		time.Sleep(f.Duration)
+		r.platform.LosePromotionAnswers(false)
 	case KindRoute:
 		r.platform.Route(fmt.Sprintf("added-%d", f.At.Milliseconds()), "primary", groupName, 0, statementTimeoutMs)
 	default:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -58,7 +58,7 @@
 			kinds[f.Kind] = true
 		}
 	}
-	if len(kinds) < 16 {
-		t.Errorf("%d kinds of faults were drawn, want at least 16", len(kinds))
+	if len(kinds) < 18 {
+		t.Errorf("%d kinds of faults were drawn, want at least 18", len(kinds))
 	}
 }
