--- a/targets/discover.go
+++ b/targets/discover.go
@@ -149,8 +149,8 @@
 	return g.adoptWith(g.addClaim(found.status.Term, replies, p.complete))
 }
 
-// adoptWith is adopt for a caller that knows the state of the claim at a time after the reports were requested. It adopts
-// the primary of the highest term that any member has reported.
+// adoptWith is adopt for a caller that knows the state of the claim at a time after the reports were requested; with
+// claimHeld no lease is established. It adopts the primary of the highest term that any member has reported.
 func (g *Group) adoptWith(replies []memberReply, claim claimState) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
