targets: unused leases are not renewed; the case that needs it is listed as red

Why it concentrates the work is not understood. Without it a group that was unused for 3 s has no usable primary while the store is away and one of its replicas is down: script outage-dead-replica, in KNOWN-RED.txt, as it stands.

--- a/targets/renew.go
+++ b/targets/renew.go
@@ -15,7 +15,7 @@
 	peerRenewalTimeout    = 150 * time.Millisecond // timeout of a request to the lease renewer
 	replicaRenewalAge     = 900 * time.Millisecond // age of the last renewal at which the replicas are queried instead
 	replicaRenewalTimeout = 200 * time.Millisecond // timeout of a request to one replica
-	leaseIdleTimeout      = 3 * time.Second        // after which an unused lease is not renewed from a peer
+	leaseIdleTimeout      = 3 * time.Second        // after which an unused lease is not renewed
 	primaryCheckInterval  = 450 * time.Millisecond // between two checks of a primary whose lease no replica renews
 )
 
@@ -35,16 +35,15 @@
 	g.notifyChanged()
 }
 
-// renewIfNeeded starts a renewal of the lease if one is due. The lease renewer of the group renews at a replica, also while
-// no request uses the primary: a lease that has expired needs the store, or all replicas, to begin again. The other
-// instances take over its renewals while requests use the primary. The caller holds mu.
+// renewIfNeeded starts a renewal of the lease if one is due and requests use the primary. The lease renewer of the group
+// renews at a replica, and the other instances take over its renewals. The caller holds mu.
 func (g *Group) renewIfNeeded(now citronusher.Instant) {
-	renewer, isPeer := g.set.leaseRenewer(g.name)
-	used := !isPeer && g.home || g.queue.PrimaryLen() > 0 || now < g.primaryUsedAt.Add(leaseIdleTimeout)
+	used := g.queue.PrimaryLen() > 0 || now < g.primaryUsedAt.Add(leaseIdleTimeout)
 	due := now >= g.renewalSentAt.Add(renewInterval) && now >= g.nextRenewalAt
 	if g.renewing || g.lease.Term() == 0 || g.lease.Closed() || !used || !due {
 		return
 	}
+	renewer, isPeer := g.set.leaseRenewer(g.name)
 	switch {
 	case !isPeer:
 		g.renewing = true
