--- a/review/lab/group.go
+++ b/review/lab/group.go
@@ -287,7 +287,7 @@
 // The caller must hold g.mu.
 func (g *Group) replicateOnce(now time.Time) {
 	primary := g.primary()
-	if primary == nil || primary.crashed {
+	if primary == nil || primary.crashed || primary.partitioned {
 		return
 	}
 	for _, m := range g.members {
