--- a/review/lab/group.go
+++ b/review/lab/group.go
@@ -38,6 +38,8 @@
 	OnRun func(member, id, text string, end bool)
 	// Processes, if set, returns the ids of the processes from which SetCut may partition a member.
 	Processes func() []int
+	// OnExecute, if set, is called when a member runs a prepared statement, with the action and the shape that it runs.
+	OnExecute func(member, id, action, shape string)
 	// OnPromote, if set, is called when a promotion has taken effect.
 	OnPromote func(group, member string, term uint64)
 }
--- a/review/lab/session.go
+++ b/review/lab/session.go
@@ -187,7 +187,7 @@
 		s.values[fields[1]] = fields[2]
 		return s.completeAnswer(""), false
 	case "PREPARE":
-		s.prepared[fields[1]] = fields[2]
+		s.prepared[fields[1]] = strings.Join(fields[2:], " ")
 		return s.completeAnswer(""), false
 	case "EXECUTE":
 		return s.execute(id, fields)
@@ -225,16 +225,20 @@
 	return s.completeAnswer(""), true
 }
 
+// execute runs a prepared statement. A read returns its shape with the item's value, as its result depends on both.
 func (s *memberSession) execute(id string, fields []string) (string, bool) {
-	action, ok := s.prepared[fields[1]]
-	switch {
-	case !ok:
+	prepared, ok := s.prepared[fields[1]]
+	if !ok {
 		return s.errorAnswer("NOSTMT"), false
-	case action == "READ":
-		return s.completeAnswer("ROW " + s.member.read(fields[2]) + "\r\n"), false
-	default:
-		return s.write(id, fields[2], fields[3])
 	}
+	action, shape, _ := strings.Cut(prepared, " ")
+	if onExecute := s.member.group.platform.options.OnExecute; onExecute != nil {
+		onExecute(s.member.id, id, action, shape)
+	}
+	if action == "READ" {
+		return s.completeAnswer("ROW " + shape + " " + s.member.read(fields[2]) + "\r\n"), false
+	}
+	return s.write(id, fields[2], fields[3])
 }
 
 // control runs the commands that proxies send to members: STATUS, PAUSE, RESUME and DEMOTE.
