--- a/review/lab/group.go
+++ b/review/lab/group.go
@@ -40,6 +40,8 @@
 	Processes func() []int
 	// OnExecute, if set, is called when a member runs a prepared statement, with the action and the shape that it runs.
 	OnExecute func(member, id, action, shape string)
+	// OnCommit, if set, is called when a member runs a COMMIT, with the values that are set on the connection.
+	OnCommit func(member, id string, values map[string]string)
 	// OnPromote, if set, is called when a promotion has taken effect.
 	OnPromote func(group, member string, term uint64)
 }
--- a/review/lab/session.go
+++ b/review/lab/session.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -171,6 +172,9 @@
 		return s.begin(len(fields) > 1), false
 	case "COMMIT":
 		wrote := len(s.writes) > 0 && s.state == "T"
+		if onCommit := m.group.platform.options.OnCommit; onCommit != nil {
+			onCommit(m.id, id, maps.Clone(s.values))
+		}
 		if wrote {
 			m.commit(id, s.writes)
 		}
