A late call of an earlier process spares a daemon's registration

Cause: a stopping daemon deleted its row unconditionally. When the store performed that call late, it deleted the row on which the next process of the same name relied. No daemon looked for its own row unless the store's era changed.

What callers saw: after the next promotion the old primary acknowledged writes of that daemon, and served its reads, for up to half a second. The writes were lost.

Change: every write of a registration names the version that it replaces. A stopping daemon first marks its row as leaving and deletes it only once the store has confirmed the mark, on condition that nobody has changed the row since. A starting daemon relies on a row only if it is not marked; it replaces any other one. So no removal can be on its way for a row that a daemon relies on, and a daemon still starts while the store accepts only reads. The rows are removed after the leases have ended. A daemon that an instance list lacks checks its registration, and event 307 tells by which row a daemon is registered.

--- a/events/events.go
+++ b/events/events.go
@@ -28,6 +28,7 @@
 	PeerStale            Event = 304
 	RegistrationLost     Event = 305
 	ListsOutdated        Event = 306
+	Registered           Event = 307
 	HomeOpened           Event = 401
 	HomeClosed           Event = 402
 	ProbeFailed          Event = 403
@@ -90,6 +91,7 @@
 	PeerStale:            {slog.LevelWarn, "peer's configuration is stale; the peer is not polled for a while"},
 	RegistrationLost:     {slog.LevelWarn, "store lost the registration of this daemon, which registers again"},
 	ListsOutdated:        {slog.LevelInfo, "store is in another era; the registration is checked and the lists are read again"},
+	Registered:           {slog.LevelInfo, "daemon is registered in the store"},
 	HomeOpened:           {slog.LevelInfo, "home of a database opened"},
 	HomeClosed:           {slog.LevelInfo, "home of a database closed"},
 	ProbeFailed:          {slog.LevelWarn, "member stopped answering probes or connection attempts"},
--- a/gateway/action_test.go
+++ b/gateway/action_test.go
@@ -105,6 +105,8 @@
 		s.platform.Fail(s.number(fields[1]))
 	case "lose-promotions":
 		s.platform.LosePromotionAnswers(fields[1] == "on")
+	case "late-deletions":
+		s.platform.DelayDeletions(time.Duration(s.number(fields[1])) * time.Millisecond)
 	case "store-copy":
 		s.platform.Copy()
 	case "store-restore":
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,7 +55,8 @@
 	taskServer      *relay.Server
 	health          *http.Server
 	healthAddress   string
-	droppedLogLines func() int64 // dropped log lines so far; nil when they are not counted
+	self            citronusher.Instance // as registered in the store
+	droppedLogLines func() int64         // dropped log lines so far; nil when they are not counted
 	ready           atomic.Bool
 	draining        atomic.Bool
 	ctx             context.Context
@@ -124,12 +125,12 @@
 	if err != nil {
 		return err
 	}
+	g.self = citronusher.NewInstance(s.Name(), g.peerServer.Address(), s.Domain(), citronusher.InstanceLive).
+		WithCapacity(s.Cores())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.syncer = storesync.New(storesync.Config{
-		Self: citronusher.NewInstance(s.Name(), g.peerServer.Address(), s.Domain(), citronusher.InstanceLive).
-			WithCapacity(s.Cores()),
-		FirstStart: s.FirstStart(), Store: g.store, OnPlan: g.targets.Apply,
+		Self: g.self, FirstStart: s.FirstStart(), Store: g.store, OnPlan: g.targets.Apply,
 		OnMembers: func(members []citronusher.MemberReport, listedAt time.Time) {
 			g.targets.SetMembers(members, clock.Instant().Add(-time.Since(listedAt)))
 		},
@@ -272,9 +273,13 @@
 	g.taskServer.RollBackAll()
 	g.proxy.Drain(ctx)
 	g.taskServer.Drain(ctx)
-	deregisterCtx, cancelDeregister := context.WithTimeout(g.ctx, deregisterTimeout)
-	defer cancelDeregister()
-	if err := g.store.Deregister(deregisterCtx, g.settings.Name()); err != nil {
+}
+
+// deregister removes this daemon from the store's lists, once it uses no lease: from then on nobody asks it to release one.
+func (g *Gateway) deregister() {
+	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
+	defer cancel()
+	if err := g.store.Deregister(ctx, g.self); err != nil {
 		events.Log(g.logger, events.PlatformUnavailable, "part", "instances", "error", err)
 	}
 }
@@ -297,7 +302,8 @@
 	}
 }
 
-// Close stops all components and waits for them. For a planned stop, call Drain first.
+// Close stops all components and waits for them. For a planned stop, call Drain first; Close then also removes the daemon from
+// the store's lists.
 func (g *Gateway) Close() error {
 	g.cancel()
 	var errs []error
@@ -314,6 +320,9 @@
 	if g.taskServer != nil {
 		g.stopTaskServer()
 	}
+	if g.draining.Load() {
+		g.deregister()
+	}
 	if g.peerServer != nil {
 		errs = append(errs, g.peerServer.Close())
 	}
--- a/plan.go
+++ b/plan.go
@@ -128,19 +128,20 @@
 	WaitForPlan(ctx context.Context, after StoreVersion) (plan Plan, found bool, version StoreVersion, err error)
 	// Members returns the members of all groups.
 	Members(ctx context.Context) ([]MemberReport, error)
-	// Instances returns the registered daemons.
+	// Instances returns the registered daemons, those that are leaving included.
 	Instances(ctx context.Context) ([]Instance, error)
 	// SomeInstances returns registered daemons at the cost of one call. complete is false when the part of the store that
 	// keeps most of them did not respond, so that the list may lack any of them; it always may lack daemons that registered
 	// during such an outage.
 	SomeInstances(ctx context.Context) (list []Instance, complete bool, err error)
-	// Register adds a daemon to the registered ones.
+	// Register adds a daemon to the registered ones, or replaces the registration that an earlier process of its name left.
 	Register(ctx context.Context, instance Instance) error
 	// Replicate registers a registered daemon in every other part of the store that keeps daemons, so that it is found
 	// while some of them are down.
 	Replicate(ctx context.Context, instance Instance) error
-	// Deregister removes a daemon from the registered ones.
-	Deregister(ctx context.Context, name string) error
+	// Deregister removes a daemon from the registered ones. Before that it is listed as leaving, and it is removed only if it
+	// has not registered again since. A daemon that is listed as live is not removed by a call that is performed late.
+	Deregister(ctx context.Context, instance Instance) error
 	// ReadClaim returns the claim on a group.
 	ReadClaim(ctx context.Context, group string) (Claim, error)
 	// WriteClaim replaces the claim that has the expected version.
--- a/platform.go
+++ b/platform.go
@@ -84,6 +84,17 @@
 // Domain returns the instance's failure domain.
 func (i Instance) Domain() string { return i.domain }
 
+// WithState returns i with another state.
+func (i Instance) WithState(state InstanceState) Instance {
+	i.state = state
+	return i
+}
+
+// SameDaemon reports whether other has the same name and peer address.
+func (i Instance) SameDaemon(other Instance) bool {
+	return i.name == other.name && i.peer == other.peer
+}
+
 // State returns whether the instance accepts new work.
 func (i Instance) State() InstanceState { return i.state }
 
--- a/standin/users/store.go
+++ b/standin/users/store.go
@@ -56,9 +56,10 @@
 	lost            []row         // rows of operators and members that a restore has lost and that are to be written again
 	restored        chan struct{} // closed and replaced at each restore
 	changed         chan struct{}
-	unavailablePart string // TABLE/PART whose calls fail with 503; empty for none
-	failStatus      int    // HTTP status of every call but /promote; 0 for normal operation
-	feedsStalled    bool   // feed requests that start now return no changes
+	unavailablePart string        // TABLE/PART whose calls fail with 503; empty for none
+	failStatus      int           // HTTP status of every call but /promote; 0 for normal operation
+	feedsStalled    bool          // feed requests that start now return no changes
+	deletionDelay   time.Duration // after which calls that delete rows are performed, without an answer; 0 for at once
 	requests        []PromotionRequest
 	loseRequests    bool // promotion requests are carried out, but not answered
 	promote         func(group, member string) int
@@ -108,6 +109,14 @@
 	s.feedsStalled = stalled
 }
 
+// DelayDeletions sets after which time calls that delete rows are performed; they are not answered. 0 restores normal
+// operation.
+func (s *Store) DelayDeletions(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deletionDelay = delay
+}
+
 // LosePromotionAnswers sets whether promotion requests are carried out without an answer.
 func (s *Store) LosePromotionAnswers(lose bool) {
 	s.mu.Lock()
@@ -272,15 +281,30 @@
 	return rows
 }
 
-// serveTx applies writes and deletions if the expected row versions match.
+// transaction is the request body of a call that changes rows.
+type transaction struct {
+	Expected, Writes, Deletes []row
+}
+
+// serveTx serves a call that changes rows.
 func (s *Store) serveTx(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		Expected, Writes, Deletes []row
-	}
+	var body transaction
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	s.mu.Lock()
+	delay := s.deletionDelay
+	s.mu.Unlock()
+	if delay > 0 && len(body.Deletes) > 0 {
+		time.AfterFunc(delay, func() { s.perform(httptest.NewRecorder(), body) })
+		panic(http.ErrAbortHandler) // closes the connection without a response
+	}
+	s.perform(w, body)
+}
+
+// perform applies writes and deletions if the expected row versions match.
+func (s *Store) perform(w http.ResponseWriter, body transaction) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, write := range body.Writes {
--- a/storesync/join.go
+++ b/storesync/join.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/events"
 )
 
 const (
@@ -94,8 +95,8 @@
 	}
 }
 
-// register returns instances of the fleet, and registers this one unless it is listed with its name and peer address from
-// an earlier process. Nothing is written in that case, so that an instance can restart while the store accepts only reads.
+// register returns instances of the fleet, and registers this one unless it is listed as live with its name and peer address
+// from an earlier process. Nothing is written in that case, so that an instance can restart while the store accepts only reads.
 func (f *Syncer) register(backoff *startBackoff) ([]citronusher.Instance, error) {
 	if f.config.FirstStart {
 		delay := rand.N(firstStartSpread) //nolint:gosec // not security-sensitive
@@ -110,7 +111,7 @@
 	case err != nil:
 		return nil, err
 	case f.listed(known):
-		f.config.OnRegistered()
+		f.recordRegistered(known, false)
 		return known, nil
 	case !complete:
 		return f.add(backoff, known, restartDelay)
@@ -131,7 +132,7 @@
 	}
 	f.added = true
 	f.observeStore()
-	f.config.OnRegistered()
+	f.recordRegistered(known, true)
 	f.sleep(delay)
 	ctx, cancelReread := backoff.context(f.ctx)
 	defer cancelReread()
@@ -144,6 +145,18 @@
 	return known, nil
 }
 
+// recordRegistered records that this instance is registered: by its own row, or by one that an earlier process left in the
+// list that was found.
+func (f *Syncer) recordRegistered(found []citronusher.Instance, written bool) {
+	before := citronusher.InstanceState("none")
+	if i := slices.IndexFunc(found, f.config.Self.SameDaemon); i >= 0 {
+		before = found[i].State()
+	}
+	events.Log(f.config.Logger, events.Registered, "peer", f.config.Self.PeerAddress(), "listed", len(found), "before",
+		string(before), "written", written)
+	f.config.OnRegistered()
+}
+
 // replicate registers this instance in the other parts of the store too, if it was added and the fleet is so small that this
 // costs little. An instance of a large fleet is then not found at once if it restarts while a part of the store is down.
 func (f *Syncer) replicate(instances []citronusher.Instance) {
@@ -152,9 +165,10 @@
 	}
 }
 
-// listed reports whether the list has this instance with its peer address.
+// listed reports whether the list has this instance with its peer address as live. One that is leaving was listed by an
+// earlier process, whose call that removes it from the list may still be performed.
 func (f *Syncer) listed(instances []citronusher.Instance) bool {
 	return slices.ContainsFunc(instances, func(i citronusher.Instance) bool {
-		return i.Name() == f.config.Self.Name() && i.PeerAddress() == f.config.Self.PeerAddress()
+		return i.SameDaemon(f.config.Self) && i.State() == citronusher.InstanceLive
 	})
 }
--- a/storesync/reader.go
+++ b/storesync/reader.go
@@ -43,7 +43,8 @@
 	return max(1, xxhash.Sum64(body))
 }
 
-// setInstances replaces the instance list and this instance's duty.
+// setInstances replaces the instance list and this instance's duty. When the list lacks this instance, its registration is
+// checked.
 func (f *Syncer) setInstances(instances []citronusher.Instance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -58,6 +59,9 @@
 		f.notifyChanged()
 	}
 	f.instances = instances
+	if !slices.ContainsFunc(instances, f.config.Self.SameDaemon) {
+		signal(f.registrationCheck)
+	}
 	f.duty = dutyOf(f.config.Self, instances)
 	f.config.OnInstances(instances)
 }
--- a/storesync/restore.go
+++ b/storesync/restore.go
@@ -73,7 +73,8 @@
 	}
 }
 
-// keepRegistered checks this instance's registration after each restore of the store until the Syncer is closed.
+// keepRegistered checks this instance's registration after each restore of the store, and when an instance list lacks this
+// instance, until the Syncer is closed.
 func (f *Syncer) keepRegistered() {
 	for {
 		select {
@@ -108,7 +109,7 @@
 	if err := f.config.Store.Register(ctx, f.config.Self); err != nil {
 		return err
 	}
-	f.config.OnRegistered()
+	f.recordRegistered(known, true)
 	if f.inSmallFleet() {
 		return f.config.Store.Replicate(ctx, f.config.Self)
 	}
--- a/storesync/storesync_test.go
+++ b/storesync/storesync_test.go
@@ -182,7 +182,10 @@
 	}
 	v.fleet.mu.Lock()
 	defer v.fleet.mu.Unlock()
-	v.fleet.instances = append(slices.Clone(v.fleet.instances), instance)
+	others := slices.DeleteFunc(slices.Clone(v.fleet.instances), func(i citronusher.Instance) bool {
+		return i.Name() == instance.Name()
+	})
+	v.fleet.instances = append(others, instance)
 	return nil
 }
 
