A prepared statement is told apart by its text, not by a hash of it

Cause: a prepared statement's name on the shared member connections was the 64-bit xxhash of its text, and a connection kept the names without texts. Two texts with the same hash are made within a second.

What callers saw: EXECUTE, reads and writes, ran the statement of another session and returned a success with a valid signature.

Change: targets.SessionState gives each statement, by its kind and whole text, a name that is unique on its connection and never used twice. The same statement is still prepared once on a connection for all sessions. A connection whose texts exceed 1 MiB is reset before its next use, and so is one on which the member does not know a statement.

--- a/execute/execute.go
+++ b/execute/execute.go
@@ -5,7 +5,6 @@
 
 import (
 	"log/slog"
-	"maps"
 	"time"
 
 	"citronusher.example/citronusher"
@@ -161,7 +160,7 @@
 	}
 	e.countRequest(conn, task.Route)
 	commands := sessionSetup(conn, task)
-	command := citronusher.Command{Statement: memberStatement(task)}
+	command := citronusher.Command{Statement: memberStatement(conn, task)}
 	if !conn.Primary() {
 		command.After = requirement.MinPosition
 	}
@@ -236,45 +235,19 @@
 	}
 }
 
-// memberStatement returns the statement as sent to a member. An EXECUTE uses the name that the prepared statement has on
-// member connections, because sessions share these.
-func memberStatement(task citronusher.Task) citronusher.Statement {
+// memberStatement returns the statement as sent on the connection, whose session state is synchronised with the task. An
+// EXECUTE uses the name that the prepared statement has there.
+func memberStatement(conn *targets.Conn, task citronusher.Task) citronusher.Statement {
 	statement := task.Statement
 	if statement.Kind == citronusher.StatementExecute {
-		statement.Name = task.Prepared.Name
+		statement.Name = conn.State().Name(task.Prepared)
 		statement.Text = ""
 	}
 	return statement
 }
 
-// sessionSetup returns the commands that synchronise the connection's session state with the session's: a reset if the
-// connection has a value that the session lacks, the values that differ, and the prepared statement if it is missing.
-// It updates the state recorded for the connection, so the connection must be discarded if one of the commands fails.
+// sessionSetup returns the commands that synchronise the connection's session state with the session's. The connection must
+// be discarded if one of them fails.
 func sessionSetup(conn *targets.Conn, task citronusher.Task) []citronusher.Command {
-	var commands []citronusher.Command
-	add := func(statement citronusher.Statement) {
-		commands = append(commands, citronusher.Command{Statement: statement})
-	}
-	for name := range conn.Values() {
-		if _, ok := task.Values[name]; !ok {
-			add(citronusher.Statement{Kind: citronusher.StatementReset})
-			clear(conn.Values())
-			clear(conn.Prepared())
-			break
-		}
-	}
-	for name, value := range task.Values {
-		if current, ok := conn.Values()[name]; !ok || current != value {
-			add(citronusher.Statement{Kind: citronusher.StatementSet, Name: name, Value: value})
-		}
-	}
-	maps.Copy(conn.Values(), task.Values)
-	prepared := task.Prepared
-	if prepared.Name != "" && !conn.Prepared()[prepared.Name] {
-		add(citronusher.Statement{
-			Kind: citronusher.StatementPrepare, Name: prepared.Name, Value: prepared.Text, Writes: prepared.Writes,
-		})
-		conn.Prepared()[prepared.Name] = true
-	}
-	return commands
+	return conn.State().Synchronize(task.Values, task.Prepared)
 }
--- a/execute/transaction.go
+++ b/execute/transaction.go
@@ -12,7 +12,7 @@
 		if err := e.begin(task); err != nil {
 			return nil, err
 		}
-		answer, err := e.runInTransaction(task, []citronusher.Command{{Statement: memberStatement(task)}})
+		answer, err := e.runInTransaction(task, []citronusher.Command{{Statement: memberStatement(e.conn, task)}})
 		retry := err == nil && answer.Refusal.NotRun() ||
 			err != nil && (!task.Writes || citronusher.AsFailure(err).Outcome() == citronusher.NotRun)
 		if !retry || e.config.Clock.Instant() >= task.Deadline() {
@@ -28,7 +28,8 @@
 	if e.conn == nil {
 		return nil, transactionLost()
 	}
-	return e.runInTransaction(task, append(sessionSetup(e.conn, task), citronusher.Command{Statement: memberStatement(task)}))
+	commands := sessionSetup(e.conn, task)
+	return e.runInTransaction(task, append(commands, citronusher.Command{Statement: memberStatement(e.conn, task)}))
 }
 
 // transactionLost returns the failure of a statement whose transaction has lost its connection. The outcome is not run,
--- a/peer/task.go
+++ b/peer/task.go
@@ -177,7 +177,7 @@
 			Writes: t.Statement.Writes, Text: t.Statement.Text,
 		},
 		Writes: t.Writes, Part: uint32(t.Part), ReadOnly: t.ReadOnly, Values: t.Values,
-		Prepared: &peerpb.Definition{Name: t.Prepared.Name, Shape: t.Prepared.Text, Writes: t.Prepared.Writes},
+		Prepared: &peerpb.Definition{Shape: t.Prepared.Text, Writes: t.Prepared.Writes},
 		Seen:     toPosition(t.SessionPosition), Arrived: now.Sub(t.ArrivedAt).Microseconds(),
 		Began:   now.Sub(t.BeganAt).Microseconds(),
 		Version: t.Version, Patience: t.MemberWaitDeadline.Sub(now).Microseconds(),
@@ -199,7 +199,7 @@
 		Version: m.GetVersion(), Writes: m.GetWrites(), Part: citronusher.TransactionPart(m.GetPart()), ReadOnly: m.GetReadOnly(),
 		Values: m.GetValues(),
 		Prepared: citronusher.PreparedStatement{
-			Name: prepared.GetName(), Text: prepared.GetShape(), Writes: prepared.GetWrites(),
+			Text: prepared.GetShape(), Writes: prepared.GetWrites(),
 		},
 		SessionPosition: fromPosition(m.GetSeen()), ArrivedAt: now.Add(-micros(m.GetArrived())),
 		BeganAt:            now.Add(-micros(m.GetBegan())),
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -1,10 +1,6 @@
 package proxy
 
 import (
-	"fmt"
-
-	"github.com/cespare/xxhash/v2"
-
 	"citronusher.example/citronusher"
 )
 
@@ -114,18 +110,10 @@
 		return s.fail(citronusher.NewNotRun(citronusher.ReasonInput,
 			"a session cannot have more than %d prepared statements", maxSessionEntries))
 	}
-	s.prepared[statement.Name] = citronusher.PreparedStatement{
-		Name: preparedName(statement), Text: statement.Value, Writes: statement.Writes,
-	}
+	s.prepared[statement.Name] = citronusher.PreparedStatement{Text: statement.Value, Writes: statement.Writes}
 	return nil
 }
 
-// preparedName returns the name of a prepared statement on member connections, which is the same for all sessions that
-// prepare the same text.
-func preparedName(statement citronusher.Statement) string {
-	return fmt.Sprintf("p%016x%t", xxhash.Sum64String(statement.Value), statement.Writes)
-}
-
 func (s *session) deallocate(statement citronusher.Statement) error {
 	if _, ok := s.prepared[statement.Name]; !ok {
 		return s.fail(citronusher.NewNotRun(citronusher.ReasonStatement,
--- a/standin/users/session.go
+++ b/standin/users/session.go
@@ -10,13 +10,16 @@
 	"time"
 )
 
+// preparedStatement is a statement that a connection has prepared: READ or WRITE, and its shape.
+type preparedStatement struct{ action, shape string }
+
 // memberSession is one connection to a member.
 type memberSession struct {
 	member   *Member
 	conn     net.Conn
 	reader   *bufio.Reader
 	values   map[string]string
-	prepared map[string]string
+	prepared map[string]preparedStatement
 	state    string
 	readOnly bool
 	wrote    bool
@@ -169,7 +172,7 @@
 		s.values[fields[1]] = fields[2]
 		return s.completeAnswer(""), false
 	case "PREPARE":
-		s.prepared[fields[1]] = fields[2]
+		s.prepared[fields[1]] = preparedStatement{action: fields[2], shape: strings.Join(fields[3:], " ")}
 		return s.completeAnswer(""), false
 	case "EXECUTE":
 		return s.execute(id, fields)
@@ -208,11 +211,13 @@
 }
 
 func (s *memberSession) execute(id string, fields []string) (string, bool) {
-	action, ok := s.prepared[fields[1]]
+	prepared, ok := s.prepared[fields[1]]
 	switch {
 	case !ok:
 		return s.errorAnswer("NOSTMT"), false
-	case action == "READ":
+	case prepared.action == "READ" && fields[2] == "shape": // returns the prepared shape for tests to compare
+		return s.completeAnswer("ROW " + prepared.shape + "\r\n"), false
+	case prepared.action == "READ":
 		return s.completeAnswer("ROW " + s.member.read(fields[2]) + "\r\n"), false
 	default:
 		return s.write(id, fields[2], fields[3])
--- a/targets/conn.go
+++ b/targets/conn.go
@@ -153,7 +153,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err == nil {
-		c := &pooledConn{link: link, values: map[string]string{}, prepared: map[string]bool{}, openedAt: now, idleSince: now}
+		c := &pooledConn{link: link, state: newSessionState(), openedAt: now, idleSince: now}
 		g.recordResponse(m, now)
 		m.conns[c] = struct{}{}
 		return c, nil
@@ -176,12 +176,8 @@
 // Member returns the member's ID.
 func (h *Conn) Member() string { return h.id }
 
-// Values returns the session variables set on the connection. The caller updates the map when it changes them.
-func (h *Conn) Values() map[string]string { return h.conn.values }
-
-// Prepared returns the names of the statements prepared on the connection. The caller updates the map when it prepares
-// or deallocates one.
-func (h *Conn) Prepared() map[string]bool { return h.conn.prepared }
+// State returns the connection's session state.
+func (h *Conn) State() *SessionState { return h.conn.state }
 
 // CheckLease returns an error if new work must not begin on the connection. A connection to the primary requires a
 // valid lease of the term under which the connection was acquired; one to a replica needs no lease.
@@ -256,6 +252,8 @@
 		h.member.window.ObserveBusy(h.member.report.Slots, now)
 	case citronusher.RefusalBehind:
 		h.member.markBehind(command.After, now)
+	case citronusher.RefusalUnprepared:
+		h.conn.state.MarkUncertain()
 	case citronusher.RefusalReadOnly:
 		if h.primary && g.lease.Term() == h.term && !g.lease.Closed() {
 			g.lease.Close()
@@ -294,10 +292,13 @@
 	}
 }
 
-// Release returns the connection for use by other requests. Its session state must match Values and Prepared, and no
-// transaction may be open on it.
+// Release returns the connection for use by other requests. Its session state must match State, and no transaction may be
+// open on it.
 func (h *Conn) Release() {
 	g := h.group
+	if h.conn.state.preparedBytes > maxPreparedBytes {
+		h.conn.state.MarkUncertain()
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	h.member.release(h.pinned)
--- a/targets/member.go
+++ b/targets/member.go
@@ -24,8 +24,7 @@
 // pooledConn is an open connection to a member with its session state.
 type pooledConn struct {
 	link      citronusher.MemberConn
-	values    map[string]string
-	prepared  map[string]bool
+	state     *SessionState
 	openedAt  citronusher.Instant // when the member had accepted it
 	sentAt    citronusher.Instant // when the running statement was sent; 0 when none runs
 	idleSince citronusher.Instant
--- a/task.go
+++ b/task.go
@@ -15,10 +15,8 @@
 	PartNext
 )
 
-// PreparedStatement is a prepared statement of member connections.
+// PreparedStatement is a statement that is prepared on a member connection before it is executed. The zero value is none.
 type PreparedStatement struct {
-	// Name is its name on member connections, the same for all sessions; empty when none is required.
-	Name string
 	// Text is the text that was prepared.
 	Text string
 	// Writes is set when it writes.
