PostgreSQL: a shared statement name is a cryptographic hash of the statement

Cause: as for the line protocol, the name of a prepared statement on the shared target connections was a 64-bit hash of its text, with its length. A pair of equal length with the same xxhash64 is made within a second.

What callers saw: nothing was reported. Execution by another caller's statement follows from the name, as it does on the line protocol.

Evidence: TestSharedNamesDiffer failed before for such a pair.

Result: TestSharedNamesDiffer passes, and so do the tests of entry, home and pool.

--- a/entry/collect.go
+++ b/entry/collect.go
@@ -1,11 +1,12 @@
 package entry
 
 import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
 	"fmt"
-	"strconv"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"citronusher.example/citronusher"
@@ -15,7 +16,7 @@
 const (
 	maxSteps      = 10_000 // messages of one exchange
 	maxStatements = 5_000  // prepared statements of one caller
-	base36        = 36
+	bytesPerOID   = 4
 )
 
 // collector collects a caller's messages until an exchange is complete. It renames prepared statements to a name derived
@@ -97,15 +98,17 @@
 	}
 }
 
-// sharedName returns the name of a prepared statement on target connections, which is the same for all callers.
+// sharedName returns the name of a prepared statement on target connections, which is the same for all callers. It is a
+// cryptographic hash, because callers choose the text: nobody can make two statements that share a name.
 func sharedName(m *pgproto3.Parse) string {
-	var hash xxhash.Digest
-	hash.Reset()
-	_, _ = hash.WriteString(m.Query)
+	text := make([]byte, 0, len(m.Query)+len(m.ParameterOIDs)*bytesPerOID+1)
+	text = append(text, m.Query...)
+	text = append(text, 0) // a query contains no zero byte
 	for _, oid := range m.ParameterOIDs {
-		_, _ = hash.WriteString("," + strconv.FormatUint(uint64(oid), 10))
+		text = binary.BigEndian.AppendUint32(text, oid)
 	}
-	return "s" + strconv.FormatUint(hash.Sum64(), base36) + strconv.FormatInt(int64(len(m.Query)), base36)
+	sum := sha256.Sum256(text)
+	return "s" + base64.RawURLEncoding.EncodeToString(sum[:])
 }
 
 func (c *collector) addParse(m *pgproto3.Parse, statements map[string]citronusher.Message) error {
