A commit runs with the session values that were acknowledged before it

Cause: each caller of the member connection added the session's set-up by itself, and the commit did not. A SET is acknowledged without the member, so that one between the last statement and the COMMIT never reached it.

What callers saw: the COMMIT ran with the value of before, or with none, after the SET had been acknowledged.

Script commit-values failed before, at the daemon that holds the connection and through another one.

Change: execute.send is the only way in which a statement of a session reaches a member, and it puts the set-up ahead of it. A commit whose set-up is refused is reported as unknown if it may have been kept. What was set or prepared in a transaction that was not committed is set again, because the member may have undone it.

Result: script commit-values and TestStateOfARolledBackTransactionIsSetAgain pass.

--- a/execute/execute.go
+++ b/execute/execute.go
@@ -159,18 +159,15 @@
 		return nil, err
 	}
 	e.countRequest(conn, task.Route)
-	commands := sessionSetup(conn, task)
-	command := citronusher.Command{Statement: memberStatement(conn, task)}
+	command := citronusher.Command{Statement: task.Statement}
 	if !conn.Primary() {
 		command.After = requirement.MinPosition
 	}
-	commands = append(commands, command)
-	answers, err := conn.Run(task.Deadline().Add(answerGrace), commands...)
-	if err != nil || !allSucceeded(answers[:len(commands)-1]) {
+	answer, err := send(conn, task, command, task.Deadline().Add(answerGrace))
+	if err != nil {
 		conn.Discard()
 		return nil, connectionLost(err, task.Writes)
 	}
-	answer := answers[len(answers)-1]
 	if answer.State != citronusher.StateIdle {
 		conn.Discard()
 		return nil, citronusher.NewUnknown(citronusher.ReasonBroken, "the member left a transaction open")
@@ -187,7 +184,7 @@
 		e.position = answer.Position
 	}
 	conn.Release()
-	return &answer, nil
+	return answer, nil
 }
 
 // countRequest counts a request that was sent to the primary or a replica, and whether a replica may serve it.
@@ -202,15 +199,6 @@
 	}
 }
 
-func allSucceeded(answers []citronusher.Answer) bool {
-	for _, answer := range answers {
-		if answer.Refusal != citronusher.RefusalNone {
-			return false
-		}
-	}
-	return true
-}
-
 // connectionLost returns the failure of a statement whose connection, or whose session setup commands, failed. The
 // outcome is not run for a read, which can be repeated, and unknown for a write, which may have taken effect.
 func connectionLost(err error, writes bool) error {
@@ -234,20 +222,3 @@
 		return citronusher.NewNotRun(citronusher.ReasonFull, "the member did not complete the statement; try again later")
 	}
 }
-
-// memberStatement returns the statement as sent on the connection, whose session state is synchronised with the task. An
-// EXECUTE uses the name that the prepared statement has there.
-func memberStatement(conn *targets.Conn, task citronusher.Task) citronusher.Statement {
-	statement := task.Statement
-	if statement.Kind == citronusher.StatementExecute {
-		statement.Name = conn.State().Name(task.Prepared)
-		statement.Text = ""
-	}
-	return statement
-}
-
-// sessionSetup returns the commands that synchronise the connection's session state with the session's. The connection must
-// be discarded if one of them fails.
-func sessionSetup(conn *targets.Conn, task citronusher.Task) []citronusher.Command {
-	return conn.State().Synchronize(task.Values, task.Prepared)
-}
--- a/execute/transaction.go
+++ b/execute/transaction.go
@@ -12,7 +12,7 @@
 		if err := e.begin(task); err != nil {
 			return nil, err
 		}
-		answer, err := e.runInTransaction(task, []citronusher.Command{{Statement: memberStatement(e.conn, task)}})
+		answer, err := e.runInTransaction(task)
 		retry := err == nil && answer.Refusal.NotRun() ||
 			err != nil && (!task.Writes || citronusher.AsFailure(err).Outcome() == citronusher.NotRun)
 		if !retry || e.config.Clock.Instant() >= task.Deadline() {
@@ -28,8 +28,7 @@
 	if e.conn == nil {
 		return nil, transactionLost()
 	}
-	commands := sessionSetup(e.conn, task)
-	return e.runInTransaction(task, append(commands, citronusher.Command{Statement: memberStatement(e.conn, task)}))
+	return e.runInTransaction(task)
 }
 
 // transactionLost returns the failure of a statement whose transaction has lost its connection. The outcome is not run,
@@ -89,16 +88,15 @@
 			begin.After = requirement.MinPosition
 		}
 	}
-	commands := append(sessionSetup(conn, task), begin)
-	answers, err := conn.Run(task.Deadline(), commands...)
-	if err != nil || !allSucceeded(answers[:len(commands)-1]) {
+	answer, err := send(conn, task, begin, task.Deadline())
+	if err != nil {
 		conn.Discard()
 		return citronusher.NewNotRun(citronusher.ReasonBroken,
 			"the member connection or its session setup failed before the transaction began")
 	}
-	answer := answers[len(answers)-1]
 	switch {
 	case answer.Refusal == citronusher.RefusalNone && answer.State == citronusher.StateOpen:
+		conn.State().BeginTransaction()
 		return nil
 	case answer.Refusal != citronusher.RefusalNone && answer.State == citronusher.StateIdle:
 		conn.Release()
@@ -109,27 +107,26 @@
 	}
 }
 
-// runInTransaction runs commands on the transaction's connection and returns the answer to the last one. It discards the
-// connection when the connection fails, when a preceding command fails, or when the transaction is no longer open.
-func (e *Executor) runInTransaction(task citronusher.Task, commands []citronusher.Command) (*citronusher.Answer, error) {
+// runInTransaction runs a statement on the transaction's connection and returns the answer. It discards the connection when
+// the connection or its session setup fails, or when the transaction is no longer open.
+func (e *Executor) runInTransaction(task citronusher.Task) (*citronusher.Answer, error) {
 	conn := e.conn
 	if e.trace.Attempts == 0 {
 		e.recordConn(conn, citronusher.Position{})
 	}
 	e.wrote = e.wrote || task.Writes
-	answers, err := conn.Run(task.Deadline().Add(answerGrace), commands...)
-	if err != nil || !allSucceeded(answers[:len(commands)-1]) {
+	answer, err := send(conn, task, citronusher.Command{Statement: task.Statement}, task.Deadline().Add(answerGrace))
+	if err != nil {
 		conn.Discard()
 		e.conn = nil
 		return nil, transactionLost()
 	}
-	answer := answers[len(answers)-1]
 	if answer.State == citronusher.StateIdle {
 		conn.Discard()
 		e.conn = nil
 		return nil, citronusher.NewNotRun(citronusher.ReasonGone, "the member ended the transaction; its changes are not kept")
 	}
-	return &answer, nil
+	return answer, nil
 }
 
 // commit runs the transaction's commit, beginning the transaction first if the commit is its first statement. A commit
@@ -148,29 +145,40 @@
 	if e.trace.Attempts == 0 {
 		e.recordConn(conn, citronusher.Position{})
 	}
-	answers, err := conn.Run(task.Deadline().Add(answerGrace), citronusher.Command{Statement: task.Statement})
+	answer, err := send(conn, task, citronusher.Command{Statement: task.Statement}, task.Deadline().Add(answerGrace))
 	if err != nil {
 		conn.Discard()
-		if !wrote {
-			return nil, citronusher.NewFailure(citronusher.Ran, citronusher.ReasonBroken,
-				"the member connection failed during the commit of a transaction that wrote nothing")
-		}
-		return nil, connectionLost(err, true)
+		return nil, commitLost(answer, err, wrote)
 	}
-	answer := answers[0]
 	if answer.State != citronusher.StateIdle {
 		conn.Discard()
 	} else {
 		defer conn.Release()
 	}
+	conn.State().EndTransaction(answer.Refusal == citronusher.RefusalNone)
 	if answer.Refusal != citronusher.RefusalNone || !wrote {
-		return &answer, nil
+		return answer, nil
 	}
 	if err := conn.Confirm(task.Deadline()); err != nil {
 		return nil, err
 	}
 	e.position = answer.Position
-	return &answer, nil
+	return answer, nil
+}
+
+// commitLost returns the failure of a commit whose connection or session setup failed. answer is the answer to the commit,
+// if there is one.
+func commitLost(answer *citronusher.Answer, err error, wrote bool) *citronusher.Failure {
+	switch {
+	case !wrote:
+		return citronusher.NewFailure(citronusher.Ran, citronusher.ReasonBroken,
+			"the member connection or its session setup failed during the commit of a transaction that wrote nothing")
+	case answer != nil && answer.Refusal.NotRun():
+		return transactionLost()
+	default:
+		return citronusher.NewUnknown(citronusher.ReasonBroken,
+			"the member connection or its session setup failed during the commit: %v", err)
+	}
 }
 
 // Rollback rolls back the open transaction, if there is one, and releases its connection. The connection is discarded
@@ -187,5 +195,6 @@
 		conn.Discard()
 		return
 	}
+	conn.State().EndTransaction(false)
 	conn.Release()
 }
--- a/standin/users/session.go
+++ b/standin/users/session.go
@@ -157,6 +157,7 @@
 	case "COMMIT":
 		wrote := len(s.writes) > 0 && s.state == "T"
 		if wrote {
+			s.writeCommitValues()
 			m.commit(id, s.writes)
 		}
 		s.state, s.writes = "I", nil
@@ -185,6 +186,19 @@
 	}
 }
 
+// writeCommitValues replaces the data commit-values by the session values at the commit, for tests to read.
+func (s *memberSession) writeCommitValues() {
+	for i := range s.writes {
+		if s.writes[i].data == "commit-values" {
+			s.writes[i].data = s.formatValues()
+		}
+	}
+}
+
+func (s *memberSession) formatValues() string {
+	return strings.ReplaceAll(fmt.Sprint(s.values), " ", "_")
+}
+
 func (s *memberSession) begin(readOnly bool) string {
 	if !readOnly && s.member.role != rolePrimary {
 		return s.errorAnswer("READONLY")
@@ -198,7 +212,7 @@
 		return s.errorAnswer("READONLY"), false
 	}
 	if data == "values" { // writes the session values for tests to read
-		data = fmt.Sprint(s.values)
+		data = s.formatValues()
 	}
 	e := entry{item: item, data: strings.ReplaceAll(data, " ", "_")}
 	if s.state == "T" {
--- a/targets/state.go
+++ b/targets/state.go
@@ -17,6 +17,8 @@
 	names         map[citronusher.PreparedStatement]string
 	preparedBytes int
 	lastName      int  // number in the latest name; no number is used twice
+	open          bool // a transaction is open on the connection
+	changed       bool // the open transaction has changed the state
 	uncertain     bool // the member may hold something else
 }
 
@@ -49,9 +51,22 @@
 			Kind: citronusher.StatementPrepare, Name: s.assignName(prepared), Value: prepared.Text, Writes: prepared.Writes,
 		})
 	}
+	s.changed = s.changed || s.open && len(commands) > 0
 	return commands
 }
 
+// BeginTransaction records that a transaction is open on the connection.
+func (s *SessionState) BeginTransaction() { s.open, s.changed = true, false }
+
+// EndTransaction records that the transaction has ended. Unless it was committed, the member may have undone what was set or
+// prepared in it, so that the next Synchronize resets the state.
+func (s *SessionState) EndTransaction(committed bool) {
+	if s.changed && !committed {
+		s.MarkUncertain()
+	}
+	s.open, s.changed = false, false
+}
+
 func (s *SessionState) hasOtherThan(values map[string]string) bool {
 	for name := range s.values {
 		if _, ok := values[name]; !ok {
--- a/targets/state_test.go
+++ b/targets/state_test.go
@@ -77,3 +77,25 @@
 		h.Release()
 	}
 }
+
+// TestStateOfARolledBackTransactionIsSetAgain guards against a statement that runs without a session value, or with the one of
+// another session, because the member undid what was set in a transaction that was rolled back.
+func TestStateOfARolledBackTransactionIsSetAgain(t *testing.T) {
+	before, after := map[string]string{"a": "1"}, map[string]string{"a": "2"}
+	none := citronusher.PreparedStatement{}
+	for _, test := range []struct {
+		set       map[string]string // in the transaction
+		committed bool
+		reset     bool
+	}{{after, false, true}, {after, true, false}, {before, false, false}} {
+		s := newSessionState()
+		s.Synchronize(before, none)
+		s.BeginTransaction()
+		s.Synchronize(test.set, none)
+		s.EndTransaction(test.committed)
+		commands := s.Synchronize(test.set, none)
+		if reset := len(commands) == 2 && commands[0].Statement.Kind == citronusher.StatementReset; reset != test.reset {
+			t.Errorf("%+v: %v", test, kinds(commands))
+		}
+	}
+}
