A planned stop answers the running statement and then rolls back

Cause: at half of the drain time open transactions were rolled back once, and one was passed over if a statement of it was running at that moment, or if only its BEGIN had been received. A home waited for the running statement of one transaction before it rolled back the next. What was still running at the end lost its connection without an answer.

What callers saw: transactions went on during the whole stop, and their connections ended in the middle of a statement.

Change: from half of the drain time on no statement is passed on. A session and a home look again after each statement, outside its lock, so that the stop either finds a transaction idle or is continued after its statement. Transactions are rolled back side by side. Shortly before the end of the drain time the connections to members are closed first, so that callers of statements that still run get the failure instead of the end of theirs.

--- a/gateway/action_test.go
+++ b/gateway/action_test.go
@@ -63,6 +63,14 @@
 	case "stop":
 		s.daemons[s.number(fields[1])-1].Drain(drainTimeout)
 		s.closeDaemon(s.number(fields[1]))
+	case "begin-stop": // as stop, beside the actions up to end-stop
+		number := s.number(fields[1])
+		s.stops.Go(func() {
+			s.daemons[number-1].Drain(drainTimeout)
+			s.closeDaemon(number)
+		})
+	case "end-stop":
+		s.stops.Wait()
 	case "crash":
 		s.member(fields[1]).Crash()
 	case "crash-primary":
@@ -158,6 +166,14 @@
 		for _, table := range []string{"instances", "instances2", "instances3"} {
 			s.waitUntil("listed", func() bool { return s.platform.Count(table) == s.number(fields[1]) })
 		}
+	case "read": // reads an item, and returns how that ended
+		a, err := s.callers[fields[1]].Query("READ " + fields[2])
+		if err != nil {
+			return "connection ended without an answer"
+		}
+		return s.format(a, false)
+	case "transaction": // runs reads in a transaction until one fails, and returns how that one failed
+		return s.readUntilFailure(s.callers[fields[1]])
 	case "await-write": // until a session's writes succeed again
 		s.waitUntil("write", func() bool { return write(s.callers[fields[1]]) })
 	case "begin-write": // as await-write, beside the actions up to end-write
@@ -190,6 +206,19 @@
 	return err == nil && a.Code == ""
 }
 
+// readUntilFailure runs a transaction of reads, and returns the code of the failure that ends it.
+func (s *script) readUntilFailure(c *users.Caller) string {
+	for text := "BEGIN READ"; ; text = "READ x" {
+		a, err := c.Query(text)
+		switch {
+		case err != nil:
+			return "connection ended without an answer"
+		case a.Code != "":
+			return a.Code
+		}
+	}
+}
+
 // promotionRequests returns the number of requested promotions, and whether the token increased with each change of holder.
 func (s *script) promotionRequests() string {
 	orders := s.platform.PromotionRequests()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,6 +35,7 @@
 	primaryWaitTimeout = 4 * time.Second         // for the groups' primaries; the daemon then gets ready without them
 	stopAcceptingDelay = 2300 * time.Millisecond // after the daemon is not ready, until no new sessions arrive
 	deregisterTimeout  = 300 * time.Millisecond  // also for ending the tasks of other daemons in Close
+	failureTimeout     = 150 * time.Millisecond  // for the failures of statements that are broken off to reach their callers
 	drainDivisor       = 2                       // open transactions get 1/drainDivisor of the drain time
 	closeReserve       = 700 * time.Millisecond  // of the drain time, for deregistering and closing
 )
@@ -252,9 +253,9 @@
 }
 
 // Drain stops the daemon gracefully within span. The daemon stops being ready, ends sessions between requests once no new
-// sessions arrive, lets open transactions finish during the first half of span and then rolls them back. Answers of running
-// statements are still delivered. Statements that run until shortly before the end of span are broken off, so that the
-// daemon ends by itself.
+// sessions arrive, lets open transactions finish during the first half of span and then rolls them back, each once its running
+// statement is answered. From then on no statement is passed on to a member. Statements that run until shortly before the end
+// of span are broken off, and their callers get the failure, so that the daemon ends by itself.
 func (g *Gateway) Drain(span time.Duration) {
 	events.Log(g.logger, events.Stopping)
 	g.draining.Store(true)
@@ -273,6 +274,22 @@
 	g.taskServer.RollBackAll()
 	g.proxy.Drain(ctx)
 	g.taskServer.Drain(ctx)
+	g.breakOff()
+}
+
+// breakOff ends the statements that still run, by closing the connections to the members and the calls to other daemons, and
+// waits for a moment until their callers have got the failures.
+func (g *Gateway) breakOff() {
+	if g.proxy.Idle() && g.taskServer.Idle() {
+		return
+	}
+	if err := errors.Join(g.targets.Close(), g.relay.Close()); err != nil {
+		events.Log(g.logger, events.CallerFailed, "error", err)
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, failureTimeout)
+	defer cancel()
+	g.proxy.Drain(ctx)
+	g.taskServer.Drain(ctx)
 }
 
 // deregister removes this daemon from the store's lists, once it uses no lease: from then on nobody asks it to release one.
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -37,6 +37,7 @@
 	daemons  []*gateway.Gateway
 	callers  map[string]*users.Caller
 	writes   sync.WaitGroup
+	stops    sync.WaitGroup
 	written  atomic.Bool // the last write beside other actions succeeded
 }
 
--- a/proxy/abort_test.go
+++ b/proxy/abort_test.go
@@ -40,7 +40,7 @@
 		Clock:       citronusher.SystemClock{}, Logger: slog.New(slog.DiscardHandler), Meter: meter.New(),
 	}}
 	p.serve(nil)
-	if !caller.closed || !executor.rolledBack || p.sessionCount() != 0 {
-		t.Errorf("closed %t, rolled back %t, %d sessions", caller.closed, executor.rolledBack, p.sessionCount())
+	if !caller.closed || !executor.rolledBack || !p.Idle() {
+		t.Errorf("closed %t, rolled back %t, no session %t", caller.closed, executor.rolledBack, p.Idle())
 	}
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -8,8 +8,11 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -51,6 +54,9 @@
 	mu       sync.Mutex
 	sessions map[*session]struct{}
 	draining bool
+
+	// rollingBack is set when transactions are rolled back for the daemon's stop; from then on no statement is passed on.
+	rollingBack atomic.Bool
 }
 
 // New listens on config.Address and starts to accept callers. It returns an error when the address cannot be used.
@@ -116,7 +122,7 @@
 
 // Drain waits until every session has ended, or until ctx ends.
 func (p *Proxy) Drain(ctx context.Context) {
-	for ctx.Err() == nil && p.sessionCount() > 0 {
+	for ctx.Err() == nil && !p.Idle() {
 		select {
 		case <-time.After(drainPollInterval):
 		case <-ctx.Done():
@@ -124,10 +130,11 @@
 	}
 }
 
-func (p *Proxy) sessionCount() int {
+// Idle reports whether no session is open.
+func (p *Proxy) Idle() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.sessions)
+	return len(p.sessions) == 0
 }
 
 func (p *Proxy) isDraining() bool {
@@ -136,13 +143,25 @@
 	return p.draining
 }
 
-// RollBackTransactions rolls back open transactions that are between statements, so that their sessions can end.
+// RollBackTransactions rolls back every open transaction, so that the sessions can end: at once those that are between two
+// statements, and those of which a statement is running when it has been answered. From now on new statements are refused. It
+// returns when the former are rolled back.
 func (p *Proxy) RollBackTransactions() {
+	p.rollingBack.Store(true)
+	var tasks errgroup.Group
+	for _, s := range p.openSessions() {
+		tasks.Go(func() error {
+			s.tryRollBack()
+			return nil
+		})
+	}
+	_ = tasks.Wait() // the tasks return no errors
+}
+
+func (p *Proxy) openSessions() []*session {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for s := range p.sessions {
-		s.tryRollBackIdle()
-	}
+	return slices.Collect(maps.Keys(p.sessions))
 }
 
 // Close closes the listener and every session, and waits until the sessions have ended.
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -83,9 +83,18 @@
 		if err := s.serveStatement(statement); err != nil {
 			return err
 		}
-		if s.proxy.isDraining() {
-			s.interruptIfIdle()
-		}
+		s.continueStop()
+	}
+}
+
+// continueStop does, after a statement, what the steps of the daemon's stop could not do to the session while the statement was
+// running.
+func (s *session) continueStop() {
+	if s.proxy.rollingBack.Load() {
+		s.tryRollBack()
+	}
+	if s.proxy.isDraining() {
+		s.interruptIfIdle()
 	}
 }
 
@@ -141,6 +150,9 @@
 	}
 	s.proxy.config.Meter.Requests().Inc(1)
 	s.trace = citronusher.Trace{}
+	if s.proxy.rollingBack.Load() {
+		s.rollBackOpen()
+	}
 	answer, err := s.handle(statement, arrivedAt)
 	took := s.proxy.config.Clock.Instant().Sub(arrivedAt)
 	s.recordLatency(statement, took, err)
@@ -196,17 +208,31 @@
 	}
 }
 
-// tryRollBackIdle rolls back an open transaction unless a statement is running. The caller gets the failure as the answer
-// to its next statement.
-func (s *session) tryRollBackIdle() {
+// tryRollBack rolls back the open transaction unless a statement is running; the session calls it again after that one. The
+// caller gets the failure as the answer to its next statement.
+func (s *session) tryRollBack() {
 	if !s.mu.TryLock() {
 		return
 	}
 	defer s.mu.Unlock()
-	s.rollBackIdle()
+	s.rollBackOpen()
+}
+
+// rollBackOpen rolls back the open transaction and marks it as expired, also when only its begin was received. The caller holds
+// mu.
+func (s *session) rollBackOpen() {
+	if s.state == citronusher.StateIdle || s.tx.expired {
+		return
+	}
+	s.rollBackAndRelease()
+	if s.state == citronusher.StateOpen {
+		s.tx.expired = true
+		s.state = citronusher.StateFailed
+		events.Log(s.proxy.config.Logger, events.TransactionExpired, "database", s.database, "stopping", true)
+	}
 }
 
-// onIdleTimeout is called by the idle timer. Unlike tryRollBackIdle, it waits for the lock.
+// onIdleTimeout is called by the idle timer. It waits for the lock.
 func (s *session) onIdleTimeout() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -221,7 +247,7 @@
 	s.rollBackAndRelease()
 	s.tx.expired = true
 	s.state = citronusher.StateFailed
-	events.Log(s.proxy.config.Logger, events.TransactionExpired, "database", s.database)
+	events.Log(s.proxy.config.Logger, events.TransactionExpired, "database", s.database, "stopping", false)
 }
 
 // end stops the idle timer and rolls back an open transaction after the caller's connection has ended.
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -13,6 +13,9 @@
 	if s.state == citronusher.StateFailed {
 		return nil, s.serveInFailed(statement)
 	}
+	if s.proxy.rollingBack.Load() && passedOn(statement.Kind) {
+		return nil, citronusher.NewNotRun(citronusher.ReasonLeaving, "the daemon is stopping; try again at another one")
+	}
 	switch statement.Kind {
 	case citronusher.StatementBegin, citronusher.StatementBeginReadOnly:
 		return nil, s.begin(statement, arrivedAt)
@@ -33,6 +36,17 @@
 	}
 }
 
+// passedOn reports whether statements of the kind begin work at a member.
+func passedOn(kind citronusher.StatementKind) bool {
+	switch kind {
+	case citronusher.StatementBegin, citronusher.StatementBeginReadOnly, citronusher.StatementRead, citronusher.StatementWrite,
+		citronusher.StatementExecute:
+		return true
+	default:
+		return false
+	}
+}
+
 // fail marks the open transaction, if there is one, as failed and returns err.
 func (s *session) fail(err error) error {
 	if s.state == citronusher.StateOpen {
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"citronusher.example/citronusher"
 	"citronusher.example/citronusher/events"
 )
@@ -33,6 +36,7 @@
 	transactions map[citronusher.SessionKey]*remoteTransaction
 	running      int
 	draining     bool
+	rollingBack  bool // open transactions are rolled back when their running statements end
 }
 
 // remoteTransaction is an open transaction of another daemon's session.
@@ -68,11 +72,26 @@
 	s.Rollback(key)
 	done, err := executor.Execute(task)
 	if err == nil && done.Answer.State != citronusher.StateIdle {
-		s.addTransaction(key, &remoteTransaction{executor: executor})
+		r := &remoteTransaction{executor: executor}
+		s.addTransaction(key, r)
+		s.continueRollback(key, r)
 	}
 	return done, err
 }
 
+// continueRollback rolls back, after a statement, a transaction that RollBackAll has passed over while the statement was running.
+func (s *Server) continueRollback(key citronusher.SessionKey, r *remoteTransaction) {
+	if s.isRollingBack() {
+		s.rollBack(key, r)
+	}
+}
+
+func (s *Server) isRollingBack() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rollingBack
+}
+
 // checkRoute checks a task's route against this daemon's plan. A route that a newer plan has removed is not served any more.
 // A route that a newer plan has added is not served before this daemon has that plan: otherwise its own callers would
 // get the error that the route does not exist after this daemon had already served the route for others.
@@ -138,9 +157,10 @@
 	if r == nil {
 		return citronusher.TaskResult{SessionPosition: task.SessionPosition}, newRolledBack()
 	}
+	defer s.continueRollback(key, r)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ended {
+	if r.ended || s.isRollingBack() {
 		return citronusher.TaskResult{SessionPosition: task.SessionPosition}, newRolledBack()
 	}
 	r.timer.Stop()
@@ -176,6 +196,11 @@
 func (s *Server) rollBack(key citronusher.SessionKey, r *remoteTransaction) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return s.rollBackLocked(key, r)
+}
+
+// rollBackLocked is rollBack for a caller that holds the transaction's mu.
+func (s *Server) rollBackLocked(key citronusher.SessionKey, r *remoteTransaction) bool {
 	if r.ended {
 		return false
 	}
@@ -195,7 +220,7 @@
 
 // Drain waits until no task or transaction of another daemon is left, or until ctx ends.
 func (s *Server) Drain(ctx context.Context) {
-	for ctx.Err() == nil && s.busy() {
+	for ctx.Err() == nil && !s.Idle() {
 		select {
 		case <-time.After(drainPollInterval):
 		case <-ctx.Done():
@@ -203,21 +228,30 @@
 	}
 }
 
-func (s *Server) busy() bool {
+// Idle reports whether no task or transaction of another daemon is left.
+func (s *Server) Idle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.running > 0 || len(s.transactions) > 0
+	return s.running == 0 && len(s.transactions) == 0
 }
 
-// RollBackAll rolls back every open transaction of other daemons.
+// RollBackAll rolls back every open transaction of other daemons: at once those that are between two statements, and those of
+// which a statement is running when it ends. It returns when the former are rolled back.
 func (s *Server) RollBackAll() {
 	s.mu.Lock()
-	open := make(map[citronusher.SessionKey]*remoteTransaction, len(s.transactions))
-	for key, r := range s.transactions {
-		open[key] = r
-	}
+	s.rollingBack = true
+	open := maps.Clone(s.transactions)
 	s.mu.Unlock()
+	var tasks errgroup.Group
 	for key, r := range open {
-		s.rollBack(key, r)
+		if !r.mu.TryLock() {
+			continue // a statement is running; executeNext continues after it
+		}
+		tasks.Go(func() error {
+			defer r.mu.Unlock()
+			s.rollBackLocked(key, r)
+			return nil
+		})
 	}
+	_ = tasks.Wait() // the tasks return no errors
 }
--- a/relay/serve_test.go
+++ b/relay/serve_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"citronusher.example/citronusher"
 	"citronusher.example/citronusher/relay"
 )
@@ -117,3 +119,73 @@
 		t.Error("the transaction was not rolled back")
 	}
 }
+
+// slowExecutor runs each task until it is released.
+type slowExecutor struct {
+	countingExecutor
+	release chan struct{}
+}
+
+func (e *slowExecutor) Execute(task citronusher.Task) (citronusher.TaskResult, error) {
+	<-e.release
+	return e.countingExecutor.Execute(task)
+}
+
+// TestStopWaitsForNoStatement guards against a home whose planned stop waits for the running statement of one transaction before
+// it rolls back the others, and against one that passes over that transaction: it is rolled back after the statement.
+func TestStopWaitsForNoStatement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		executors := []*slowExecutor{{release: make(chan struct{}, 9)}, {release: make(chan struct{}, 9)}, {release: make(chan struct{}, 9)}}
+		opened := 0
+		s := relay.NewServer(relay.ServerConfig{
+			NewLocalExecutor: func() citronusher.Executor {
+				opened++
+				return executors[opened-1]
+			},
+			Plan: func() citronusher.Plan { return planVersion7 }, Logger: slog.New(slog.DiscardHandler),
+		})
+		task := citronusher.Task{Route: citronusher.Route{Name: "r"}, Version: 7, Part: citronusher.PartFirst}
+		next := task
+		next.Part = citronusher.PartNext
+		key := func(i int) citronusher.SessionKey { return citronusher.SessionKey{Instance: "e", Number: uint64(i)} }
+		var results errgroup.Group
+		run := func(i int, task citronusher.Task) {
+			results.Go(func() error {
+				_, err := s.Execute(key(i), task)
+				return err
+			})
+			synctest.Wait()
+		}
+		for i := range 2 {
+			executors[i].release <- struct{}{}
+			run(i, task)
+		}
+		run(1, next) // runs during the stop, as does the first statement of another transaction
+		run(2, task)
+		s.StopAccepting()
+		s.RollBackAll()
+		if executors[0].rolled.Load() != 1 {
+			t.Error("a transaction between two statements was not rolled back at once")
+		}
+		for _, e := range executors[1:] {
+			if e.rolled.Load() != 0 {
+				t.Error("a transaction was rolled back while its statement was running")
+			}
+			e.release <- struct{}{}
+		}
+		if err := results.Wait(); err != nil {
+			t.Errorf("a running statement was not answered: %v", err)
+		}
+		for i, e := range executors[1:] {
+			if e.rolled.Load() != 1 {
+				t.Errorf("transaction %d was not rolled back after its statement", i+1)
+			}
+		}
+		if _, err := s.Execute(key(1), next); citronusher.AsFailure(err).Reason() != citronusher.ReasonGone {
+			t.Errorf("a later statement: %v", err)
+		}
+		if !s.Idle() {
+			t.Error("a transaction is left")
+		}
+	})
+}
--- a/standin/users/session.go
+++ b/standin/users/session.go
@@ -85,6 +85,12 @@
 	return err == nil && strings.HasPrefix(answer, "READY")
 }
 
+// A read of slowItem takes slowDuration.
+const (
+	slowItem     = "slow"
+	slowDuration = 8 * time.Second
+)
+
 // slottedCommands are the commands that need one of the member's slots.
 var slottedCommands = []string{"READ", "WRITE", "COMMIT", "EXECUTE", "AFTERLSN", "STATUS"}
 
@@ -95,6 +101,9 @@
 	if slotted {
 		m.slots <- struct{}{}
 		time.Sleep(m.group.platform.options.StatementDuration)
+		if strings.HasSuffix(text, "READ "+slowItem) {
+			time.Sleep(slowDuration)
+		}
 		defer func() { <-m.slots }()
 	}
 	m.group.mu.Lock()
