A promoted member is used once any replica has heard of its term

Cause: the daemon that promoted a member adopted it once, at the moment that it led. If the replicas had not heard of its term by then, no lease began. With a claim from before a return of the store and one member down, nothing else could begin one.

What callers saw: a group without a usable primary until the member that was down came back.

In the trace each daemon has the new primary (event 416) and no lease (422). Script restored-late-replica makes the replica late and failed before.

Change: the promoting daemon adopts the member again until the lease begins, for as long as its claim lasts.

--- a/targets/promote.go
+++ b/targets/promote.go
@@ -325,12 +325,23 @@
 			g.setUnconfirmed(0)
 			m.adoptPromoted()
 			m.demoteOld(r.status.Term)
+			m.awaitLease(ctx)
 			return ""
 		}
 	}
 	return "member " + candidate + " has not become the primary yet"
 }
 
+// awaitLease adopts the promoted member again until a replica has reported its term, which begins a lease. After the claim that
+// would need the reports of all replicas, and one of them may be down.
+func (m *promotionAttempt) awaitLease(ctx context.Context) {
+	g := m.group
+	for !g.Ready() && g.now() < m.claimDeadline && ctx.Err() == nil {
+		time.Sleep(promotedCheckInterval)
+		m.adoptPromoted()
+	}
+}
+
 // demoteOld demotes the old primary, if it is reachable, so that it follows the new one at once.
 func (m *promotionAttempt) demoteOld(term uint64) {
 	g := m.group
