Session values and prepared statements have a limited size

Cause: a session could hold 1,000 values and 1,000 prepared statements of up to 1 MiB each, and nothing bounded what the sessions of a daemon hold together. A session at its limit could not replace an entry either.

What callers saw: nothing was reported. A few callers could use up the memory of a daemon (284 MB on the users' machines), which ends it.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -57,6 +57,8 @@
 
 	// rollingBack is set when transactions are rolled back for the daemon's stop; from then on no statement is passed on.
 	rollingBack atomic.Bool
+	// stateBytes is the size of the session values and prepared statements of all sessions.
+	stateBytes atomic.Int64
 }
 
 // New listens on config.Address and starts to accept callers. It returns an error when the address cannot be used.
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -11,15 +11,16 @@
 
 // session is one caller's session.
 type session struct {
-	proxy    *Proxy
-	caller   citronusher.Caller
-	database string
-	values   map[string]string
-	prepared map[string]citronusher.PreparedStatement
-	executor citronusher.Executor
-	position citronusher.Position // position of the session's last write
-	trace    citronusher.Trace    // trace of the current statement
-	rejected rejection            // the last request that was rejected for lack of capacity
+	proxy      *Proxy
+	caller     citronusher.Caller
+	database   string
+	values     map[string]string
+	prepared   map[string]citronusher.PreparedStatement
+	stateBytes int64 // of values and prepared, with their names
+	executor   citronusher.Executor
+	position   citronusher.Position // position of the session's last write
+	trace      citronusher.Trace    // trace of the current statement
+	rejected   rejection            // the last request that was rejected for lack of capacity
 
 	// mu guards the fields below. The idle timer may roll back the open transaction between two statements.
 	mu    sync.Mutex
@@ -258,6 +259,7 @@
 		s.timer.Stop()
 	}
 	s.rollBackAndRelease()
+	s.clearState()
 }
 
 // abort ends the session after an unexpected error, without its lock, which may still be held.
@@ -266,6 +268,7 @@
 		events.Log(s.proxy.config.Logger, events.CallerFailed, "database", s.database, "error", err)
 	}
 	s.executor.Rollback()
+	s.clearState()
 }
 
 // rollBackAndRelease rolls back the open transaction and so releases its connection. The caller holds mu.
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -4,9 +4,6 @@
 	"citronusher.example/citronusher"
 )
 
-// maxSessionEntries is the maximum number of prepared statements, and of session values, of one session.
-const maxSessionEntries = 1000
-
 // handle runs a statement. It returns the member's answer, or nil when the proxy handled the statement without a
 // member. The caller holds mu.
 func (s *session) handle(statement citronusher.Statement, arrivedAt citronusher.Instant) (*citronusher.Answer, error) {
@@ -110,33 +107,6 @@
 	return nil
 }
 
-func (s *session) set(statement citronusher.Statement) error {
-	if len(s.values) >= maxSessionEntries {
-		return s.fail(citronusher.NewNotRun(citronusher.ReasonInput,
-			"a session cannot have more than %d session values", maxSessionEntries))
-	}
-	s.values[statement.Name] = statement.Value
-	return nil
-}
-
-func (s *session) prepare(statement citronusher.Statement) error {
-	if len(s.prepared) >= maxSessionEntries {
-		return s.fail(citronusher.NewNotRun(citronusher.ReasonInput,
-			"a session cannot have more than %d prepared statements", maxSessionEntries))
-	}
-	s.prepared[statement.Name] = citronusher.PreparedStatement{Text: statement.Value, Writes: statement.Writes}
-	return nil
-}
-
-func (s *session) deallocate(statement citronusher.Statement) error {
-	if _, ok := s.prepared[statement.Name]; !ok {
-		return s.fail(citronusher.NewNotRun(citronusher.ReasonStatement,
-			"prepared statement %s does not exist", statement.Name))
-	}
-	delete(s.prepared, statement.Name)
-	return nil
-}
-
 // runStatement runs a read, a write or an execute.
 func (s *session) runStatement(statement citronusher.Statement, arrivedAt citronusher.Instant) (*citronusher.Answer, error) {
 	task := citronusher.Task{
