--- a/entry/collect_test.go
+++ b/entry/collect_test.go
@@ -6,8 +6,8 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// TestSharedNamesDiffer guards against a caller's prepared statement that runs another caller's: statements whose texts have
-// the same xxhash64, or that differ in their parameter types only, have different names.
+// TestSharedNamesDiffer guards against a caller's prepared statement that runs another caller's: statements whose texts
+// have the same xxhash64, or that differ in their parameter types only, have different names.
 func TestSharedNamesDiffer(t *testing.T) {
 	const text = "grade_of_route_where_id=?_hint=a_limit=1_order_by_revision_desc_"
 	const sameHash = "qd4eWQb9_route_where_id=?_hint=afZtr_?-I_order_by_revision_desc_"
--- a/execute/send.go
+++ b/execute/send.go
@@ -11,10 +11,10 @@
 // may have run with other session values.
 var errSetup = errors.New("the session values or the prepared statement could not be set")
 
-// send runs a statement of a session on a connection and returns the member's answer. Every statement of a session, its commits
-// included, is sent by it, so that none runs without the session's values and its prepared statement: whatever the connection
-// lacks of them is sent ahead in the same write. With an error the connection must be discarded; with errSetup the answer to
-// the statement is returned too.
+// send runs a statement of a session on a connection and returns the member's answer. Every statement of a session, its
+// commits included, is sent by it, so that none runs without the session's values and its prepared statement: whatever the
+// connection lacks of them is sent ahead in the same write. With an error the connection must be discarded; with errSetup
+// the answer to the statement is returned too.
 func send(
 	conn *targets.Conn, task citronusher.Task, command citronusher.Command, deadline citronusher.Instant,
 ) (*citronusher.Answer, error) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -253,9 +253,9 @@
 }
 
 // Drain stops the daemon gracefully within span. The daemon stops being ready, ends sessions between requests once no new
-// sessions arrive, lets open transactions finish during the first half of span and then rolls them back, each once its running
-// statement is answered. From then on no statement is passed on to a member. Statements that run until shortly before the end
-// of span are broken off, and their callers get the failure, so that the daemon ends by itself.
+// sessions arrive, lets open transactions finish during the first half of span and then rolls them back, each once its
+// running statement is answered. From then on no statement is passed on to a member. Statements that run until shortly
+// before the end of span are broken off, and their callers get the failure, so that the daemon ends by itself.
 func (g *Gateway) Drain(span time.Duration) {
 	events.Log(g.logger, events.Stopping)
 	g.draining.Store(true)
@@ -277,8 +277,8 @@
 	g.breakOff()
 }
 
-// breakOff ends the statements that still run, by closing the connections to the members and the calls to other daemons, and
-// waits for a moment until their callers have got the failures.
+// breakOff ends the statements that still run, by closing the connections to the members and the calls to other daemons,
+// and waits for a moment until their callers have got the failures.
 func (g *Gateway) breakOff() {
 	if g.proxy.Idle() && g.taskServer.Idle() {
 		return
@@ -319,8 +319,8 @@
 	}
 }
 
-// Close stops all components and waits for them. For a planned stop, call Drain first; Close then also removes the daemon from
-// the store's lists.
+// Close stops all components and waits for them. For a planned stop, call Drain first; Close then also removes the daemon
+// from the store's lists.
 func (g *Gateway) Close() error {
 	g.cancel()
 	var errs []error
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -146,8 +146,8 @@
 }
 
 // RollBackTransactions rolls back every open transaction, so that the sessions can end: at once those that are between two
-// statements, and those of which a statement is running when it has been answered. From now on new statements are refused. It
-// returns when the former are rolled back.
+// statements, and those of which a statement is running when it has been answered. From now on new statements are refused.
+// It returns when the former are rolled back.
 func (p *Proxy) RollBackTransactions() {
 	p.rollingBack.Store(true)
 	var tasks errgroup.Group
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// continueStop does, after a statement, what the steps of the daemon's stop could not do to the session while the statement was
-// running.
+// continueStop does, after a statement, what the steps of the daemon's stop could not do to the session while the statement
+// was running.
 func (s *session) continueStop() {
 	if s.proxy.rollingBack.Load() {
 		s.tryRollBack()
@@ -219,8 +219,8 @@
 	s.rollBackOpen()
 }
 
-// rollBackOpen rolls back the open transaction and marks it as expired, also when only its begin was received. The caller holds
-// mu.
+// rollBackOpen rolls back the open transaction and marks it as expired, also when only its begin was received. The caller
+// holds mu.
 func (s *session) rollBackOpen() {
 	if s.state == citronusher.StateIdle || s.tx.expired {
 		return
--- a/proxy/state.go
+++ b/proxy/state.go
@@ -56,8 +56,8 @@
 	return int64(len(name) + len(value))
 }
 
-// resize counts an entry of the session as replaced by one of another size. It fails, and counts nothing, if the entries of the
-// session or of all sessions would become too large.
+// resize counts an entry of the session as replaced by one of another size. It fails, and counts nothing, if the entries of
+// the session or of all sessions would become too large.
 func (s *session) resize(before, after int64) error {
 	growth := after - before
 	if growth > 0 && s.stateBytes+growth > maxSessionBytes {
--- a/proxy/state_test.go
+++ b/proxy/state_test.go
@@ -13,8 +13,8 @@
 	return &session{proxy: p, values: map[string]string{}, prepared: map[string]citronusher.PreparedStatement{}}
 }
 
-// TestSessionStateIsBounded guards against callers that use up a daemon's memory with session values and prepared statements of
-// up to 1 MiB each: by themselves, or many of them together. What a session replaces or drops counts no more.
+// TestSessionStateIsBounded guards against callers that use up a daemon's memory with session values and prepared
+// statements of up to 1 MiB each: by themselves, or many of them together. What a session replaces or drops counts no more.
 func TestSessionStateIsBounded(t *testing.T) {
 	const size = 1 << 20
 	p := &Proxy{}
--- a/proxy/stop_test.go
+++ b/proxy/stop_test.go
@@ -86,8 +86,8 @@
 
 func (e *slowExecutor) Rollback() { e.rolled++ }
 
-// TestStopReachesEveryTransaction guards against a transaction that a planned stop passes over because of what it does at that
-// moment, so that a later statement of it is broken off without an answer.
+// TestStopReachesEveryTransaction guards against a transaction that a planned stop passes over because of what it does at
+// that moment, so that a later statement of it is broken off without an answer.
 func TestStopReachesEveryTransaction(t *testing.T) {
 	const (
 		begin  = citronusher.StatementBegin
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -79,7 +79,8 @@
 	return done, err
 }
 
-// continueRollback rolls back, after a statement, a transaction that RollBackAll has passed over while the statement was running.
+// continueRollback rolls back, after a statement, a transaction that RollBackAll has passed over while the statement was
+// running.
 func (s *Server) continueRollback(key citronusher.SessionKey, r *remoteTransaction) {
 	if s.isRollingBack() {
 		s.rollBack(key, r)
@@ -92,8 +93,8 @@
 	return s.rollingBack
 }
 
-// checkRoute checks a task's route against this daemon's plan. A route that a newer plan has removed is not served any more.
-// A route that a newer plan has added is not served before this daemon has that plan: otherwise its own callers would
+// checkRoute checks a task's route against this daemon's plan. A route that a newer plan has removed is not served any
+// more. A route that a newer plan has added is not served before this daemon has that plan: otherwise its own callers would
 // get the error that the route does not exist after this daemon had already served the route for others.
 func (s *Server) checkRoute(task citronusher.Task) error {
 	plan := s.config.Plan()
@@ -235,8 +236,8 @@
 	return s.running == 0 && len(s.transactions) == 0
 }
 
-// RollBackAll rolls back every open transaction of other daemons: at once those that are between two statements, and those of
-// which a statement is running when it ends. It returns when the former are rolled back.
+// RollBackAll rolls back every open transaction of other daemons: at once those that are between two statements, and those
+// of which a statement is running when it ends. It returns when the former are rolled back.
 func (s *Server) RollBackAll() {
 	s.mu.Lock()
 	s.rollingBack = true
--- a/relay/serve_test.go
+++ b/relay/serve_test.go
@@ -131,11 +131,15 @@
 	return e.countingExecutor.Execute(task)
 }
 
-// TestStopWaitsForNoStatement guards against a home whose planned stop waits for the running statement of one transaction before
-// it rolls back the others, and against one that passes over that transaction: it is rolled back after the statement.
+// TestStopWaitsForNoStatement guards against a home whose planned stop waits for the running statement of one transaction
+// before it rolls back the others, and against one that passes over that transaction: it is rolled back after the
+// statement.
 func TestStopWaitsForNoStatement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		executors := []*slowExecutor{{release: make(chan struct{}, 9)}, {release: make(chan struct{}, 9)}, {release: make(chan struct{}, 9)}}
+		var executors []*slowExecutor
+		for range 3 {
+			executors = append(executors, &slowExecutor{release: make(chan struct{}, 1)})
+		}
 		opened := 0
 		s := relay.NewServer(relay.ServerConfig{
 			NewLocalExecutor: func() citronusher.Executor {
--- a/standin/users/member.go
+++ b/standin/users/member.go
@@ -152,7 +152,8 @@
 			return
 		}
 		s := &memberSession{
-			member: m, conn: conn, reader: bufio.NewReader(conn), values: map[string]string{}, prepared: map[string]preparedStatement{},
+			member: m, conn: conn, reader: bufio.NewReader(conn),
+			values: map[string]string{}, prepared: map[string]preparedStatement{},
 			state: "I",
 		}
 		m.withLock(func() { m.conns[conn] = struct{}{} })
--- a/storesync/join.go
+++ b/storesync/join.go
@@ -11,17 +11,17 @@
 )
 
 const (
-	// firstStartSpread is the time over which the registrations of a fleet that starts for the first time are spread, because
-	// the store accepts a limited rate of writes.
+	// firstStartSpread is the time over which the registrations of a fleet that starts for the first time are spread,
+	// because the store accepts a limited rate of writes.
 	firstStartSpread = 1500 * time.Millisecond
-	// firstStartDelay is how long after its start an instance of such a fleet reads the instance list. It is the same for all
-	// instances, so that the store readers are not much later than those that poll them.
+	// firstStartDelay is how long after its start an instance of such a fleet reads the instance list. It is the same for
+	// all instances, so that the store readers are not much later than those that poll them.
 	firstStartDelay = 2 * time.Second
 	// registrationDelay is how long after its registration an instance that joins a running fleet, possibly together with a
 	// few others, reads the instance list.
 	registrationDelay = 500 * time.Millisecond
-	// restartDelay is the same for an instance that cannot read where it may be registered, as when a fleet restarts while a
-	// part of the store is down. All instances then register in another part at about the same time.
+	// restartDelay is the same for an instance that cannot read where it may be registered, as when a fleet restarts while
+	// a part of the store is down. All instances then register in another part at about the same time.
 	restartDelay = 150 * time.Millisecond
 )
 
@@ -95,8 +95,9 @@
 	}
 }
 
-// register returns instances of the fleet, and registers this one unless it is listed as live with its name and peer address
-// from an earlier process. Nothing is written in that case, so that an instance can restart while the store accepts only reads.
+// register returns instances of the fleet, and registers this one unless it is listed as live with its name and peer
+// address from an earlier process. Nothing is written in that case, so that an instance can restart while the store accepts
+// only reads.
 func (f *Syncer) register(backoff *startBackoff) ([]citronusher.Instance, error) {
 	if f.config.FirstStart {
 		delay := rand.N(firstStartSpread) //nolint:gosec // not security-sensitive
@@ -157,8 +158,9 @@
 	f.config.OnRegistered()
 }
 
-// replicate registers this instance in the other parts of the store too, if it was added and the fleet is so small that this
-// costs little. An instance of a large fleet is then not found at once if it restarts while a part of the store is down.
+// replicate registers this instance in the other parts of the store too, if it was added and the fleet is so small that
+// this costs little. An instance of a large fleet is then not found at once if it restarts while a part of the store is
+// down.
 func (f *Syncer) replicate(instances []citronusher.Instance) {
 	if f.added && len(instances) <= maxSmallFleet {
 		f.recordRequest("instances", f.config.Store.Replicate(f.ctx, f.config.Self))
--- a/storesync/reader.go
+++ b/storesync/reader.go
@@ -256,8 +256,8 @@
 }
 
 // AwaitUpdate returns the plan and lists of this instance that differ from those in the request of another instance. If
-// nothing differs, or this instance has just started and is not synced, it waits for a change, up to the maximum wait in the
-// request. It returns at once if the store has not confirmed the plan within staleAge, so that the other instance can
+// nothing differs, or this instance has just started and is not synced, it waits for a change, up to the maximum wait in
+// the request. It returns at once if the store has not confirmed the plan within staleAge, so that the other instance can
 // change to another reader.
 func (f *Syncer) AwaitUpdate(ctx context.Context, request citronusher.PeerUpdateRequest) citronusher.PeerUpdate {
 	startedAt := time.Now()
--- a/storesync/registration_test.go
+++ b/storesync/registration_test.go
@@ -17,8 +17,8 @@
 	return slices.Contains(w.instances, instance)
 }
 
-// TestLeavingRegistrationIsReplaced guards against a restarted instance that relies on a registration which its earlier process
-// is removing: the others would not ask it to release its leases.
+// TestLeavingRegistrationIsReplaced guards against a restarted instance that relies on a registration which its earlier
+// process is removing: the others would not ask it to release its leases.
 func TestLeavingRegistrationIsReplaced(t *testing.T) {
 	for _, count := range []int{6, 40} {
 		synctest.Test(t, func(t *testing.T) {
--- a/storesync/storesync_test.go
+++ b/storesync/storesync_test.go
@@ -182,10 +182,11 @@
 	}
 	v.fleet.mu.Lock()
 	defer v.fleet.mu.Unlock()
-	others := slices.DeleteFunc(slices.Clone(v.fleet.instances), func(i citronusher.Instance) bool {
+	instances := slices.DeleteFunc(slices.Clone(v.fleet.instances), func(i citronusher.Instance) bool {
 		return i.Name() == instance.Name()
 	})
-	v.fleet.instances = append(others, instance)
+	instances = append(instances, instance)
+	v.fleet.instances = instances
 	return nil
 }
 
--- a/targets/member.go
+++ b/targets/member.go
@@ -78,7 +78,8 @@
 }
 
 // observeRunning records that the member answered a request that was sent at sentAt on a connection opened at openedAt. The
-// same process accepted and answered it. It is the one that was known before if that one ran when the connection was opened.
+// same process accepted and answered it. It is the one that was known before if that one ran when the connection was
+// opened.
 func (m *member) observeRunning(openedAt, sentAt citronusher.Instant) {
 	switch {
 	case openedAt > m.runningUntil:
--- a/targets/promote.go
+++ b/targets/promote.go
@@ -332,8 +332,8 @@
 	return "member " + candidate + " has not become the primary yet"
 }
 
-// awaitLease adopts the promoted member again until a replica has reported its term, which begins a lease. After the claim that
-// would need the reports of all replicas, and one of them may be down.
+// awaitLease adopts the promoted member again until a replica has reported its term, which begins a lease. After the claim
+// that would need the reports of all replicas, and one of them may be down.
 func (m *promotionAttempt) awaitLease(ctx context.Context) {
 	g := m.group
 	for !g.Ready() && g.now() < m.claimDeadline && ctx.Err() == nil {
--- a/targets/state.go
+++ b/targets/state.go
@@ -26,9 +26,10 @@
 	return &SessionState{values: map[string]string{}, names: map[citronusher.PreparedStatement]string{}}
 }
 
-// Synchronize returns the commands after which the member holds exactly the values, and the prepared statement, if it is not
-// the zero value: a reset if there is another value or the state is uncertain, the values that differ, and the statement if it
-// is missing. The state is updated as if the commands had succeeded, so the connection must be discarded if one fails.
+// Synchronize returns the commands after which the member holds exactly the values, and the prepared statement, if it is
+// not the zero value: a reset if there is another value or the state is uncertain, the values that differ, and the
+// statement if it is missing. The state is updated as if the commands had succeeded, so the connection must be discarded if
+// one fails.
 func (s *SessionState) Synchronize(
 	values map[string]string, prepared citronusher.PreparedStatement,
 ) []citronusher.Command {
@@ -58,8 +59,8 @@
 // BeginTransaction records that a transaction is open on the connection.
 func (s *SessionState) BeginTransaction() { s.open, s.changed = true, false }
 
-// EndTransaction records that the transaction has ended. Unless it was committed, the member may have undone what was set or
-// prepared in it, so that the next Synchronize resets the state.
+// EndTransaction records that the transaction has ended. Unless it was committed, the member may have undone what was set
+// or prepared in it, so that the next Synchronize resets the state.
 func (s *SessionState) EndTransaction(committed bool) {
 	if s.changed && !committed {
 		s.MarkUncertain()
--- a/targets/state_test.go
+++ b/targets/state_test.go
@@ -16,8 +16,8 @@
 	return list
 }
 
-// TestEachStatementHasItsOwnName guards against an EXECUTE that runs the statement of another session: statements whose texts
-// have the same hash, and a read and a write of the same text, share no name on a connection.
+// TestEachStatementHasItsOwnName guards against an EXECUTE that runs the statement of another session: statements whose
+// texts have the same hash, and a read and a write of the same text, share no name on a connection.
 func TestEachStatementHasItsOwnName(t *testing.T) {
 	statements := []citronusher.PreparedStatement{
 		{Text: "grade_of_route_where_id=?_hint=a_limit=1_order_by_revision_desc_"},
@@ -27,9 +27,13 @@
 	s := newSessionState()
 	for i, statement := range statements {
 		commands := s.Synchronize(nil, statement)
-		if len(commands) != 1 || commands[0].Statement.Value != statement.Text || commands[0].Statement.Writes != statement.Writes {
+		if len(commands) != 1 {
 			t.Fatalf("statement %d was not prepared: %+v", i, commands)
 		}
+		sent := commands[0].Statement
+		if sent.Value != statement.Text || sent.Writes != statement.Writes {
+			t.Errorf("statement %d was prepared as %+v", i, sent)
+		}
 		if again := s.Synchronize(nil, statement); len(again) != 0 {
 			t.Errorf("statement %d was prepared again: %+v", i, again)
 		}
@@ -60,8 +64,8 @@
 	}
 }
 
-// TestPreparedTextsOfAConnectionAreBounded guards against the memory of a daemon and of a member that a caller with many long
-// prepared statements uses up on each shared connection.
+// TestPreparedTextsOfAConnectionAreBounded guards against the memory of a daemon and of a member that a caller with many
+// long prepared statements uses up on each shared connection.
 func TestPreparedTextsOfAConnectionAreBounded(t *testing.T) {
 	const length = 300 << 10 // bytes
 	g, _ := newTestGroup(t)
@@ -78,8 +82,8 @@
 	}
 }
 
-// TestStateOfARolledBackTransactionIsSetAgain guards against a statement that runs without a session value, or with the one of
-// another session, because the member undid what was set in a transaction that was rolled back.
+// TestStateOfARolledBackTransactionIsSetAgain guards against a statement that runs without a session value, or with the one
+// of another session, because the member undid what was set in a transaction that was rolled back.
 func TestStateOfARolledBackTransactionIsSetAgain(t *testing.T) {
 	before, after := map[string]string{"a": "1"}, map[string]string{"a": "2"}
 	none := citronusher.PreparedStatement{}
