An unused group is recorded as free

Cause: a group is recorded as free when its lease is renewed four seconds into an era of the store, and unused leases are not renewed. A group that nobody used at that time was not recorded.

What callers saw: a daemon that started while a replica of such a group was down was not ready for 4 s. In an outage of the store the group had no usable primary as long as a replica was down.

Change: until the group is recorded in the era, its lease renewer renews an unused lease too. Once it is recorded, unused leases expire as before, so that a group that is unused when an outage of the store begins still has no primary while a replica is down.

--- a/targets/renew.go
+++ b/targets/renew.go
@@ -36,14 +36,16 @@
 }
 
 // renewIfNeeded starts a renewal of the lease if one is due and requests use the primary. The lease renewer of the group
-// renews at a replica, and the other instances take over its renewals. The caller holds mu.
+// renews at a replica, and the other instances take over its renewals. It also renews an unused lease until the group is
+// recorded as free. The caller holds mu.
 func (g *Group) renewIfNeeded(now citronusher.Instant) {
-	used := g.queue.PrimaryLen() > 0 || now < g.primaryUsedAt.Add(leaseIdleTimeout)
+	renewer, isPeer := g.set.leaseRenewer(g.name)
+	unrecorded := !isPeer && g.home && g.recordedEra != g.set.config.Store.Era().Number
+	used := g.queue.PrimaryLen() > 0 || now < g.primaryUsedAt.Add(leaseIdleTimeout) || unrecorded
 	due := now >= g.renewalSentAt.Add(renewInterval) && now >= g.nextRenewalAt
 	if g.renewing || g.lease.Term() == 0 || g.lease.Closed() || !used || !due {
 		return
 	}
-	renewer, isPeer := g.set.leaseRenewer(g.name)
 	switch {
 	case !isPeer:
 		g.renewing = true
