PostgreSQL: a daemon that closes answers its callers

At the end of the drain time the entry cancelled the running requests and closed the connections at once.

What callers saw: nothing was reported. The connection of a running statement, or of an open transaction, ended without an answer.

Evidence: TestCloseAnswersEveryCaller failed before for both.

Change: Close cancels the requests, ends the sessions that wait for their callers, and gives all of them 150 ms to send the failure before it closes the connections.

Result: TestCloseAnswersEveryCaller passes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -25,7 +25,10 @@
 	"citronusher.example/citronusher/retry"
 )
 
-const drainPollInterval = 20 * time.Millisecond
+const (
+	drainPollInterval = 20 * time.Millisecond
+	failureTimeout    = 150 * time.Millisecond // for the failures of cancelled requests to reach their callers
+)
 
 // Hop is one home that an entry can forward a database's requests to.
 type Hop struct {
@@ -226,12 +229,14 @@
 	return e.draining
 }
 
-// Close ends every session and waits for them.
+// Close ends every session and waits for them. Running requests are cancelled, and open transactions rolled back; their callers
+// get the failure.
 func (e *Entry) Close() error {
-	_ = e.listener.Close()
 	e.cancel()
+	ctx, cancel := context.WithTimeout(context.Background(), failureTimeout)
+	defer cancel()
+	e.Drain(ctx)
 	e.mu.Lock()
-	e.draining = true
 	for _, s := range e.sessions {
 		_ = s.conn.Close()
 	}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"bytes"
 	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
@@ -8,6 +9,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
+	"io"
 	"log/slog"
 	"math/big"
 	"strings"
@@ -47,7 +49,11 @@
 	open bool
 }
 
-func (w *fakeWork) Do(_ context.Context, r citronusher.Request, sink citronusher.Sink) (citronusher.Result, error) {
+func (w *fakeWork) Do(ctx context.Context, r citronusher.Request, sink citronusher.Sink) (citronusher.Result, error) {
+	if pg.StatementText(r.Exchange.Messages[0]) == "SLOW" {
+		<-ctx.Done()
+		return citronusher.Result{}, citronusher.NewUnknown(citronusher.ReasonCancel, "cancelled")
+	}
 	w.home.mu.Lock()
 	defer w.home.mu.Unlock()
 	w.home.asked = append(w.home.asked, r)
@@ -323,3 +329,30 @@
 	}
 	_ = drain.Wait()
 }
+
+// TestCloseAnswersEveryCaller guards against a caller whose connection ends without an answer because the daemon stops while its
+// statement runs, or between two statements of its transaction.
+func TestCloseAnswersEveryCaller(t *testing.T) {
+	e, _, _ := newEntry(t, nil)
+	running, open := dial(t, e, ""), dial(t, e, "")
+	ctx := context.Background()
+	if _, err := open.Exec(ctx, "BEGIN"); err != nil {
+		t.Fatal(err)
+	}
+	var statement errgroup.Group
+	statement.Go(func() error {
+		_, err := running.Exec(ctx, "SLOW")
+		return err
+	})
+	time.Sleep(50 * time.Millisecond) // until it runs
+	if err := e.Close(); err != nil {
+		t.Error(err)
+	}
+	if got := state(statement.Wait()); !strings.Contains(got, "outcome: unknown") {
+		t.Errorf("running statement: %q", got)
+	}
+	received, err := io.ReadAll(open.PgConn().Conn())
+	if err != nil || !bytes.Contains(received, []byte("57P01")) {
+		t.Errorf("open transaction: %q, %v", received, err)
+	}
+}
--- a/entry/session.go
+++ b/entry/session.go
@@ -117,9 +117,11 @@
 	return s.flush()
 }
 
-// errDraining ends an idle session of a draining entry; errIdle ends a session whose transaction was idle too long.
+// errDraining ends an idle session of a draining entry, and errStopping a session with an open transaction when the entry
+// closes; errIdle ends a session whose transaction was idle too long.
 var (
 	errDraining = errors.New("the entry is draining")
+	errStopping = errors.New("the entry is closing")
 	errIdle     = errors.New("the transaction was idle too long")
 )
 
@@ -138,6 +140,8 @@
 			return message, err
 		}
 		switch {
+		case s.open() && s.entry.ctx.Err() != nil:
+			return nil, errStopping
 		case s.open() && !time.Now().Before(idleDeadline):
 			return nil, errIdle
 		case !s.open() && s.reader.pending == 0:
@@ -156,8 +160,9 @@
 		deadline = time.Now().Add(homeIdleTimeout)
 	}
 	_ = s.conn.SetReadDeadline(deadline)
-	if s.entry.isDraining() && !s.open() && s.reader.pending == 0 {
-		s.interruptRead() // a drain that began before the deadline was set
+	interrupted := s.entry.isDraining() && !s.open() || s.entry.ctx.Err() != nil
+	if interrupted && s.reader.pending == 0 {
+		s.interruptRead() // a drain or a close that began before the deadline was set
 	}
 }
 
@@ -170,6 +175,9 @@
 	case errors.Is(err, errDraining):
 		s.fatal(citronusher.NewNotRun(citronusher.ReasonLeaving,
 			"the daemon is stopping and the session is idle; connect again to reach another"))
+	case errors.Is(err, errStopping):
+		s.fatal(citronusher.NewNotRun(citronusher.ReasonLeaving,
+			"the daemon is stopping and the transaction is rolled back; connect again to reach another"))
 	case errors.Is(err, errIdle):
 		s.fatal(citronusher.NewNotRun(citronusher.ReasonDeadline,
 			"the transaction was idle too long and is rolled back"))
