PostgreSQL: a cancel request reaches each daemon that it may name

Cause: the upper part of a session's process ID is a 15-bit hash of its daemon's name. A daemon that received a cancel request with its own tag took the request for its own. At 830 daemons some ten pairs of names share a tag.

What callers saw: nothing was reported. Between two such daemons a cancel request had no effect.

Evidence: TestCancelReachesDaemonsWithTheSameTag failed before.

Change: a daemon that does not have the session forwards the request to all daemons with the tag, as it does for other tags.

Result: TestCancelReachesDaemonsWithTheSameTag passes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -178,22 +178,25 @@
 	return b
 }
 
-// Cancel cancels the running request of the session with this process ID if the secret matches.
-func (e *Entry) Cancel(process, secret uint32) {
+// Cancel cancels the running request of the session with this process ID if the secret matches. It reports whether this entry
+// has that session.
+func (e *Entry) Cancel(process, secret uint32) bool {
 	e.mu.Lock()
 	s := e.sessions[process]
 	e.mu.Unlock()
-	if s != nil && s.secret == secret {
-		s.cancelRunning()
+	if s == nil || s.secret != secret {
+		return false
 	}
+	s.cancelRunning()
+	return true
 }
 
-// cancelAnywhere cancels a request of this entry, or forwards the cancel request to the daemon that the process ID names.
+// cancelAnywhere cancels a request of this entry, or forwards the cancel request to the daemons that the process ID may name:
+// several names may have the same tag.
 func (e *Entry) cancelAnywhere(process, secret uint32) {
 	const tagShift = 16
 	tag := uint16(process >> tagShift)
-	if tag == InstanceTag(e.config.Self) {
-		e.Cancel(process, secret)
+	if tag == InstanceTag(e.config.Self) && e.Cancel(process, secret) {
 		return
 	}
 	e.config.Router.Cancel(e.ctx, tag, process, secret)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -12,8 +12,10 @@
 	"io"
 	"log/slog"
 	"math/big"
+	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,6 +40,8 @@
 	script []error
 	asked  []citronusher.Request
 	closed int
+
+	cancelled atomic.Int32 // cancel requests that the entry's router got
 }
 
 func (h *fakeHome) Open(context.Context, string) (citronusher.DatabaseConn, error) {
@@ -109,11 +113,14 @@
 }
 
 // fakeRouter returns fixed hops.
-type fakeRouter struct{ hops []entry.Hop }
+type fakeRouter struct {
+	hops      []entry.Hop
+	cancelled *atomic.Int32 // cancel requests that were forwarded
+}
 
 func (r fakeRouter) Route(string, string, bool) []entry.Hop         { return r.hops }
 func (r fakeRouter) PeerFailed(string)                              {}
-func (r fakeRouter) Cancel(context.Context, uint16, uint32, uint32) {}
+func (r fakeRouter) Cancel(context.Context, uint16, uint32, uint32) { r.cancelled.Add(1) }
 
 // newEntry starts an entry that forwards to two fake homes.
 func newEntry(t *testing.T, config *tls.Config) (*entry.Entry, *fakeHome, *fakeHome) {
@@ -128,8 +135,11 @@
 		Self: "d1", Address: "127.0.0.1:0", TLS: config, Idle: time.Minute, Clock: citronusher.SystemClock{},
 		Password: func(user string) (string, bool) { return "caller", user == "caller" },
 		Document: func() profile.Document { return document },
-		Router:   fakeRouter{hops: []entry.Hop{entry.NewHop("d1", first, true), entry.NewHop("d2", second, false)}},
-		Logger:   slog.New(slog.DiscardHandler), Meter: meter.New(),
+		Router: fakeRouter{
+			hops:      []entry.Hop{entry.NewHop("d1", first, true), entry.NewHop("d2", second, false)},
+			cancelled: &first.cancelled,
+		},
+		Logger: slog.New(slog.DiscardHandler), Meter: meter.New(),
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -356,3 +366,26 @@
 		t.Errorf("open transaction: %q, %v", received, err)
 	}
 }
+
+// TestCancelReachesDaemonsWithTheSameTag guards against a cancel request that is lost because the session's daemon and the one
+// that received the request have names with the same tag.
+func TestCancelReachesDaemonsWithTheSameTag(t *testing.T) {
+	e, home, _ := newEntry(t, nil)
+	process := uint32(entry.InstanceTag("d1"))<<16 | 7
+	conn, err := net.Dial("tcp", e.Address()) //nolint:noctx // test
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	raw, err := (&pgproto3.CancelRequest{ProcessID: process, SecretKey: []byte{0, 0, 0, 9}}).Encode(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Write(raw); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.ReadAll(conn) // until the entry has handled the request
+	if got := home.cancelled.Load(); got != 1 {
+		t.Errorf("the request was forwarded %d times", got)
+	}
+}
