--- a/events/events.go
+++ b/events/events.go
@@ -118,7 +118,7 @@
 	CallerFailed:         {slog.LevelDebug, "caller's connection failed"},
 	RequestUnknown:       {slog.LevelWarn, "request ended with an unknown outcome"},
 	RequestFailed:        {slog.LevelInfo, "request failed; the failure is sent to its caller"},
-	TransactionExpired:   {slog.LevelInfo, "idle transaction was rolled back"},
+	TransactionExpired:   {slog.LevelInfo, "open transaction was rolled back: it was idle, or the daemon is stopping"},
 	RequestRetried:       {slog.LevelInfo, "statement did not run, or is a read, and is retried"},
 	LatencyGoalMissed:    {slog.LevelInfo, "request was served after its latency goal"},
 	EditAccepted:         {slog.LevelInfo, "operator's edit was accepted"},
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -229,7 +229,7 @@
 	if s.state == citronusher.StateOpen {
 		s.tx.expired = true
 		s.state = citronusher.StateFailed
-		events.Log(s.proxy.config.Logger, events.TransactionExpired, "database", s.database, "stopping", true)
+		s.logExpired(true)
 	}
 }
 
@@ -248,7 +248,13 @@
 	s.rollBackAndRelease()
 	s.tx.expired = true
 	s.state = citronusher.StateFailed
-	events.Log(s.proxy.config.Logger, events.TransactionExpired, "database", s.database, "stopping", false)
+	s.logExpired(false)
+}
+
+func (s *session) logExpired(stopping bool) {
+	age := s.proxy.config.Clock.Instant().Sub(s.tx.beganAt)
+	events.Log(s.proxy.config.Logger, events.TransactionExpired, "database", s.database, "stopping", stopping,
+		"age", age.Milliseconds())
 }
 
 // end stops the idle timer and rolls back an open transaction after the caller's connection has ended.
