A daemon that the store turns away after a restore ends its leases

Cause: after the store has returned from a copy, others wait for daemons that are not listed for 20 s only. A daemon whose row the copy lacked, and that the store turned away, could not register again, and kept its leases for longer.

After a promotion such a daemon would go on at the old primary.

Change: a registration that the store has not confirmed 10 s after the daemon heard of the restore counts as lost while the store serves others: the leases end, and none begins before the store lists the daemon again. A store that serves nobody allows no promotion either, so that leases go on. A daemon that is not registered begins no promotion.

Result: TestUnconfirmedRegistrationEnds, TestOutageAfterRestoreEndsNoLeases (which failed without the last condition) and TestUnregisteredInstanceUsesNoLease pass.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -178,8 +178,8 @@
 	return b
 }
 
-// Cancel cancels the running request of the session with this process ID if the secret matches. It reports whether this entry
-// has that session.
+// Cancel cancels the running request of the session with this process ID if the secret matches. It reports whether this
+// entry has that session.
 func (e *Entry) Cancel(process, secret uint32) bool {
 	e.mu.Lock()
 	s := e.sessions[process]
@@ -191,8 +191,8 @@
 	return true
 }
 
-// cancelAnywhere cancels a request of this entry, or forwards the cancel request to the daemons that the process ID may name:
-// several names may have the same tag.
+// cancelAnywhere cancels a request of this entry, or forwards the cancel request to the daemons that the process ID may
+// name: several names may have the same tag.
 func (e *Entry) cancelAnywhere(process, secret uint32) {
 	const tagShift = 16
 	tag := uint16(process >> tagShift)
@@ -232,8 +232,8 @@
 	return e.draining
 }
 
-// Close ends every session and waits for them. Running requests are cancelled, and open transactions rolled back; their callers
-// get the failure.
+// Close ends every session and waits for them. Running requests are cancelled, and open transactions rolled back; their
+// callers get the failure.
 func (e *Entry) Close() error {
 	e.cancel()
 	ctx, cancel := context.WithTimeout(context.Background(), failureTimeout)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -340,8 +340,8 @@
 	_ = drain.Wait()
 }
 
-// TestCloseAnswersEveryCaller guards against a caller whose connection ends without an answer because the daemon stops while its
-// statement runs, or between two statements of its transaction.
+// TestCloseAnswersEveryCaller guards against a caller whose connection ends without an answer because the daemon stops
+// while its statement runs, or between two statements of its transaction.
 func TestCloseAnswersEveryCaller(t *testing.T) {
 	e, _, _ := newEntry(t, nil)
 	running, open := dial(t, e, ""), dial(t, e, "")
@@ -367,8 +367,8 @@
 	}
 }
 
-// TestCancelReachesDaemonsWithTheSameTag guards against a cancel request that is lost because the session's daemon and the one
-// that received the request have names with the same tag.
+// TestCancelReachesDaemonsWithTheSameTag guards against a cancel request that is lost because the session's daemon and the
+// one that received the request have names with the same tag.
 func TestCancelReachesDaemonsWithTheSameTag(t *testing.T) {
 	e, home, _ := newEntry(t, nil)
 	process := uint32(entry.InstanceTag("d1"))<<16 | 7
--- a/events/events.go
+++ b/events/events.go
@@ -29,6 +29,7 @@
 	RegistrationLost     Event = 305
 	ListsOutdated        Event = 306
 	Registered           Event = 307
+	RegistrationUnknown  Event = 308
 	HomeOpened           Event = 401
 	HomeClosed           Event = 402
 	ProbeFailed          Event = 403
@@ -76,22 +77,25 @@
 	LogLinesDropped: {
 		slog.LevelWarn, "log lines were dropped: over the rate limit, the buffer was full, or a write failed",
 	},
-	WorkPanicked:         {slog.LevelError, "unexpected error in the work of one session or group; the daemon goes on"},
-	DocumentApplied:      {slog.LevelInfo, "configuration version is active"},
-	DocumentRejected:     {slog.LevelError, "configuration version is invalid and was not activated"},
-	PlatformUnavailable:  {slog.LevelWarn, "request to the platform failed"},
-	PlatformRecovered:    {slog.LevelInfo, "platform responds again"},
-	RowSkipped:           {slog.LevelWarn, "row cannot be decoded and is skipped"},
-	SettingsReloaded:     {slog.LevelInfo, "settings were reloaded"},
-	SettingsRejected:     {slog.LevelError, "settings failed their checks or could not be read; the previous ones stay active"},
-	StoreRestored:        {slog.LevelWarn, "store returned from an older copy: what was written since is lost"},
-	InstanceChanged:      {slog.LevelInfo, "instances changed"},
-	PeerFailed:           {slog.LevelWarn, "request to a peer failed"},
-	PeerRecovered:        {slog.LevelInfo, "peer responds again"},
-	PeerStale:            {slog.LevelWarn, "peer's configuration is stale; the peer is not polled for a while"},
-	RegistrationLost:     {slog.LevelWarn, "store lost the registration of this daemon, which registers again"},
-	ListsOutdated:        {slog.LevelInfo, "store is in another era; the registration is checked and the lists are read again"},
-	Registered:           {slog.LevelInfo, "daemon is registered in the store"},
+	WorkPanicked:        {slog.LevelError, "unexpected error in the work of one session or group; the daemon goes on"},
+	DocumentApplied:     {slog.LevelInfo, "configuration version is active"},
+	DocumentRejected:    {slog.LevelError, "configuration version is invalid and was not activated"},
+	PlatformUnavailable: {slog.LevelWarn, "request to the platform failed"},
+	PlatformRecovered:   {slog.LevelInfo, "platform responds again"},
+	RowSkipped:          {slog.LevelWarn, "row cannot be decoded and is skipped"},
+	SettingsReloaded:    {slog.LevelInfo, "settings were reloaded"},
+	SettingsRejected:    {slog.LevelError, "settings failed their checks or could not be read; the previous ones stay active"},
+	StoreRestored:       {slog.LevelWarn, "store returned from an older copy: what was written since is lost"},
+	InstanceChanged:     {slog.LevelInfo, "instances changed"},
+	PeerFailed:          {slog.LevelWarn, "request to a peer failed"},
+	PeerRecovered:       {slog.LevelInfo, "peer responds again"},
+	PeerStale:           {slog.LevelWarn, "peer's configuration is stale; the peer is not polled for a while"},
+	RegistrationLost:    {slog.LevelWarn, "store lost the registration of this daemon, which registers again"},
+	ListsOutdated:       {slog.LevelInfo, "store is in another era; the registration is checked and the lists are read again"},
+	Registered:          {slog.LevelInfo, "daemon is registered in the store"},
+	RegistrationUnknown: {
+		slog.LevelWarn, "store does not answer whether this daemon is registered; its leases end until it does",
+	},
 	HomeOpened:           {slog.LevelInfo, "home of a database opened"},
 	HomeClosed:           {slog.LevelInfo, "home of a database closed"},
 	ProbeFailed:          {slog.LevelWarn, "member stopped answering probes or connection attempts"},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -136,7 +136,8 @@
 			g.targets.SetMembers(members, clock.Instant().Add(-time.Since(listedAt)))
 		},
 		OnInstances:  g.targets.SetInstances,
-		OnRegistered: g.targets.SetRegistered, Peers: g.peerClient, Logger: g.logger, Meter: g.meter,
+		OnRegistered: g.targets.SetRegistered, OnUnregistered: g.targets.SetUnregistered,
+		Peers: g.peerClient, Logger: g.logger, Meter: g.meter,
 	})
 	return nil
 }
--- a/storesync/registration_test.go
+++ b/storesync/registration_test.go
@@ -65,3 +65,71 @@
 		}
 	}
 }
+
+// TestUnconfirmedRegistrationEnds guards against an instance that keeps its leases although the store, back from a copy
+// without its row, turns it away: it is not asked to release them once the others take the list for complete.
+func TestUnconfirmedRegistrationEnds(t *testing.T) {
+	for _, count := range []int{6, 40} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newFakeFleet()
+			w.start(count)
+			defer w.close(t)
+			time.Sleep(10 * time.Second)
+			i := slices.IndexFunc(w.instances, func(i citronusher.Instance) bool {
+				return !dutyOf(i, w.instances).reader || count <= maxSmallFleet
+			})
+			away := w.instances[i].Name()
+			w.set(func() { w.cutOff[away] = true })
+			w.restore(slices.Delete(slices.Clone(w.instances), i, i+1))
+			counts := func() (registered bool) {
+				w.set(func() { registered = w.registered[away] })
+				return registered
+			}
+			time.Sleep(unconfirmedTime / 2)
+			if !counts() {
+				t.Errorf("fleet of %d: unregistered although the others wait for it", count)
+			}
+			time.Sleep(20*time.Second - unconfirmedTime/2)
+			if counts() {
+				t.Errorf("fleet of %d: registered although the others may not know it", count)
+			}
+			w.set(func() { w.cutOff[away] = false })
+			time.Sleep(5 * time.Second)
+			if !counts() {
+				t.Errorf("fleet of %d: not registered again", count)
+			}
+		})
+	}
+}
+
+// TestOutageAfterRestoreEndsNoLeases guards against a fleet that ends all its leases because the store, back from a copy,
+// is away again before it has confirmed the registrations.
+func TestOutageAfterRestoreEndsNoLeases(t *testing.T) {
+	for _, count := range []int{6, 40} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newFakeFleet()
+			w.start(count)
+			defer w.close(t)
+			time.Sleep(10 * time.Second)
+			last := w.instances[slices.IndexFunc(w.instances, func(i citronusher.Instance) bool {
+				return dutyOf(i, w.instances).reader
+			})].Name()
+			w.set(func() {
+				for _, i := range w.instances {
+					w.cutOff[i.Name()] = i.Name() != last
+				}
+			})
+			w.restore(w.instances)
+			time.Sleep(5 * time.Second) // in which the others hear of the era from the last one
+			w.set(func() { w.cutOff[last] = true })
+			time.Sleep(3 * unconfirmedTime)
+			w.set(func() {
+				for name, registered := range w.registered {
+					if !registered {
+						t.Errorf("fleet of %d: %s counts as unregistered", count, name)
+					}
+				}
+			})
+		})
+	}
+}
--- a/storesync/restore.go
+++ b/storesync/restore.go
@@ -13,6 +13,9 @@
 	// restoreSettleTime is how long after a restore was noticed the instance lists of the store are not applied: instances
 	// whose registrations were lost are registering again.
 	restoreSettleTime = 5 * time.Second
+	// unconfirmedTime is how long after such a check began this instance counts as registered while the store does not
+	// answer it. The others take the list for complete 20 s after a restore, which they may have noticed earlier.
+	unconfirmedTime = 10 * time.Second
 )
 
 // observeStore applies the store's newest era after a call to the store.
@@ -82,21 +85,43 @@
 		case <-f.ctx.Done():
 			return
 		}
-		if !f.inSmallFleet() {
-			f.sleep(rand.N(restoreSpread)) //nolint:gosec // not security-sensitive
+		f.checkRegistration(time.Now().Add(unconfirmedTime))
+	}
+}
+
+// checkRegistration calls the store until it lists this instance. From the deadline on the instance counts as unregistered
+// if the store serves others. While it serves nobody, nobody can promote a member either.
+func (f *Syncer) checkRegistration(deadline time.Time) {
+	if !f.inSmallFleet() {
+		f.sleep(rand.N(restoreSpread)) //nolint:gosec // not security-sensitive
+	}
+	unregistered := false
+	var backoff startBackoff
+	for f.ctx.Err() == nil {
+		err := f.registerAgain(&backoff)
+		f.recordRequest("instances", err)
+		if err == nil {
+			break
 		}
-		var backoff startBackoff
-		for f.ctx.Err() == nil {
-			err := f.registerAgain(&backoff)
-			f.recordRequest("instances", err)
-			if err == nil {
-				break
-			}
-			f.sleep(backoff.next())
+		if !unregistered && time.Now().After(deadline) && f.storeServes() {
+			unregistered = true
+			events.Log(f.config.Logger, events.RegistrationUnknown, "after", unconfirmedTime.Milliseconds(), "error", err)
+			f.config.OnUnregistered()
 		}
+		f.sleep(backoff.next())
+	}
+	if unregistered && f.ctx.Err() == nil {
+		f.config.OnRegistered()
 	}
 }
 
+// storeServes reports whether the store has recently confirmed the plan, to this instance or to another one that it polls.
+func (f *Syncer) storeServes() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.confirmedAt) < staleAge
+}
+
 // registerAgain registers this instance unless the store lists it.
 func (f *Syncer) registerAgain(backoff *startBackoff) error {
 	ctx, cancel := backoff.context(f.ctx)
--- a/storesync/storesync.go
+++ b/storesync/storesync.go
@@ -59,6 +59,8 @@
 	OnInstances func([]citronusher.Instance)
 	// OnRegistered is called once this instance is registered in the store.
 	OnRegistered func()
+	// OnUnregistered is called when this instance may not be registered any more. OnRegistered is called once it is again.
+	OnUnregistered func()
 	// Peers sends requests to the other instances.
 	Peers citronusher.Peers
 	// Logger receives a record of each applied plan, of store outages and of failing peers.
--- a/storesync/storesync_test.go
+++ b/storesync/storesync_test.go
@@ -30,13 +30,15 @@
 	cutOff       map[string]bool // instances whose calls to the store are not answered
 	unresponsive map[string]bool // instances that do not answer the others
 	followers    map[string]*Syncer
+	registered   map[string]bool // instances that count as registered, by their own account
 }
 
 func newFakeFleet() *fakeFleet {
 	return &fakeFleet{
 		changed: make(chan struct{}), plan: citronusher.Plan{Version: 1},
 		members: []citronusher.MemberReport{{ID: "m"}}, cutOff: map[string]bool{},
-		unresponsive: map[string]bool{}, followers: map[string]*Syncer{}, era: 1, seenEras: map[string]uint64{},
+		unresponsive: map[string]bool{}, followers: map[string]*Syncer{},
+		era: 1, seenEras: map[string]uint64{}, registered: map[string]bool{},
 	}
 }
 
@@ -226,13 +228,21 @@
 	}
 }
 
+// setRegistered records whether an instance counts as registered.
+func (w *fakeFleet) setRegistered(instance citronusher.Instance, registered bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.registered[instance.Name()] = registered
+}
+
 // startOne starts the Syncer of an instance.
 func (w *fakeFleet) startOne(instance citronusher.Instance, firstStart bool) {
 	v := instanceView{fleet: w, name: instance.Name()}
 	f := New(Config{
 		Self: instance, FirstStart: firstStart, Store: v, Peers: v,
 		OnPlan: func(citronusher.Plan) {}, OnMembers: func([]citronusher.MemberReport, time.Time) {},
-		OnInstances: func([]citronusher.Instance) {}, OnRegistered: func() {}, Logger: slog.New(slog.DiscardHandler),
+		OnInstances: func([]citronusher.Instance) {}, OnRegistered: func() { w.setRegistered(instance, true) },
+		OnUnregistered: func() { w.setRegistered(instance, false) }, Logger: slog.New(slog.DiscardHandler),
 		Meter: meter.New(),
 	})
 	w.set(func() { w.followers[instance.Name()] = f })
--- a/targets/discover.go
+++ b/targets/discover.go
@@ -127,7 +127,7 @@
 // discover requests the status of the members and adopts the primary found, first among the members that are up and then
 // among all. It does nothing until this instance is registered, because a lease may be used only from then on.
 func (g *Group) discover() {
-	if g.set.isRegistered() && !g.adopt(g.queryUp(requestStatus)) {
+	if g.set.registered.Load() && !g.adopt(g.queryUp(requestStatus)) {
 		g.adopt(g.queryAll(requestStatus))
 	}
 	g.mu.Lock()
--- a/targets/promote.go
+++ b/targets/promote.go
@@ -52,6 +52,9 @@
 	if g.promoting || now < g.earliestPromotionAt || len(g.members) < 2 { //nolint:mnd // a primary and a replica
 		return
 	}
+	if !g.set.registered.Load() {
+		return // it could not use the new primary, and its own view shows no outage
+	}
 	primary := g.members[g.primary]
 	outage := promotion.Outage{
 		DetectedAt: g.unavailableSince, Refused: g.connectionRefused, PrimaryKnown: primary != nil && !g.lease.Closed(),
--- a/targets/set.go
+++ b/targets/set.go
@@ -10,9 +10,11 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -52,12 +54,13 @@
 	tasks  errgroup.Group
 	holder string // names this process in claims: a promotion that an earlier one requested may still take effect
 
-	mu         sync.Mutex
-	groups     map[string]*Group
-	plan       citronusher.Plan
-	reports    []citronusher.MemberReport
-	reportsAt  citronusher.Instant // when reports were read from the store
-	registered bool                // the other instances can find this one and ask it to release leases
+	mu        sync.Mutex
+	groups    map[string]*Group
+	plan      citronusher.Plan
+	reports   []citronusher.MemberReport
+	reportsAt citronusher.Instant // when reports were read from the store
+
+	registered atomic.Bool // the other instances can find this one and ask it to release leases
 
 	homes homes // has its own mutex; read while a group's mutex is held
 }
@@ -115,16 +118,17 @@
 
 // SetRegistered records that this instance is registered in the store, which allows it to use leases: before
 // a promotion, all registered instances are requested to release theirs.
-func (s *Set) SetRegistered() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.registered = true
-}
+func (s *Set) SetRegistered() { s.registered.Store(true) }
 
-func (s *Set) isRegistered() bool {
+// SetUnregistered records that this instance may no longer be registered in the store. Its leases end, and none begins
+// before SetRegistered is called again.
+func (s *Set) SetUnregistered() {
+	s.registered.Store(false)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.registered
+	for _, g := range s.groups {
+		g.releaseLease(math.MaxUint64)
+	}
 }
 
 // ReleaseLease releases the lease for the primary of a group if it is of the given term or an older one.
--- a/targets/set_test.go
+++ b/targets/set_test.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"math"
 	"testing"
+	"time"
 
 	"citronusher.example/citronusher"
 	"citronusher.example/citronusher/meter"
@@ -44,3 +45,30 @@
 		g.mu.Unlock()
 	}
 }
+
+// TestUnregisteredInstanceUsesNoLease guards against an instance that uses a primary, or replaces it, although the others
+// may not know it and ask it to release its lease.
+func TestUnregisteredInstanceUsesNoLease(t *testing.T) {
+	g, timer := newTestGroup(t)
+	g.set.groups["g"] = g
+	g.set.SetRegistered()
+	g.lease.Begin(1)
+	g.lease.Establish(timer.now)
+	if !g.Ready() {
+		t.Fatal("no lease began")
+	}
+	g.set.SetUnregistered()
+	timer.now = timer.now.Add(10 * time.Millisecond)
+	if g.Ready() {
+		t.Error("the lease is still used")
+	}
+	g.discover()
+	timer.now = timer.now.Add(time.Minute)
+	g.mu.Lock()
+	g.promoteIfNeeded(timer.now)
+	promoting := g.promoting
+	g.mu.Unlock()
+	if promoting || g.Ready() {
+		t.Errorf("promoting %t, with a lease %t", promoting, g.Ready())
+	}
+}
