A stopping daemon keeps within its drain time

The end of a stop now has three steps with a time of their own: failures of statements that are broken off, tasks of other daemons, and the removal from the store's lists. With 150, 300 and 300 ms they could exceed the 700 ms that are kept for them. The second one, after the connections to members are closed, has 150 ms.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -11,10 +11,10 @@
 // The steps of a planned stop.
 const (
 	stopAcceptingDelay = 2300 * time.Millisecond // after the daemon is not ready, until no new sessions arrive
-	deregisterTimeout  = 300 * time.Millisecond  // also for ending the tasks of other daemons in Close
-	failureTimeout     = 150 * time.Millisecond  // for the failures of statements that are broken off to reach their callers
-	drainDivisor       = 2                       // open transactions get 1/drainDivisor of the drain time
-	closeReserve       = 700 * time.Millisecond  // of the drain time, for deregistering and closing
+	deregisterTimeout  = 300 * time.Millisecond
+	failureTimeout     = 150 * time.Millisecond // for the failures of statements that are broken off to reach their callers
+	drainDivisor       = 2                      // open transactions get 1/drainDivisor of the drain time
+	closeReserve       = 700 * time.Millisecond // of the drain time, for deregistering and closing
 )
 
 // Drain stops the daemon gracefully within span. The daemon stops being ready, ends sessions between requests once no new
@@ -70,7 +70,7 @@
 func (g *Gateway) stopTaskServer() {
 	g.taskServer.StopAccepting()
 	g.taskServer.RollBackAll()
-	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), failureTimeout)
 	defer cancel()
 	g.taskServer.Drain(ctx)
 }
