soak: a read that lacks a rolled-back value is not stale

Cause: the soak does not count a read as stale if the value that it lacks was rolled back by a promotion. It took the value for kept when the item had a value at least as high, which the writer's next value is.

Members replicate asynchronously there, so that an acknowledged commit may be rolled back.

Change: users.Group.Holds looks for the commit of the value itself. For values that were not rolled back the check is the same: whenever the commit is in the log, the item's value is at least as high.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -167,7 +167,7 @@
 	}
 	c.reads++
 	got := readValue(a.Rows)
-	if got < acked && readValue([]string{c.run.group.Value(item)}) >= acked {
+	if got < acked && c.run.group.Holds(item, strconv.Itoa(acked)) {
 		c.run.recordViolation("read %s of item %s on route %s returned %d, but %d was acknowledged before it",
 			a.ID, item, c.route, got, acked)
 	}
--- a/standin/users/group.go
+++ b/standin/users/group.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -255,6 +256,13 @@
 	return g.primary().read(item)
 }
 
+// Holds reports whether the primary's log has a commit that wrote data to an item, also if a later one has replaced it.
+func (g *Group) Holds(item, data string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.ContainsFunc(g.primary().log, func(e entry) bool { return e.item == item && e.data == data })
+}
+
 // replicate runs replicateOnce at an interval until the platform is closed.
 func (g *Group) replicate() {
 	ticker := time.NewTicker(replicateInterval)
