A restarted daemon knows the homes before it is registered

Cause: a daemon that starts applied the instance list only once its registration was confirmed. Since a row that is marked as leaving has to be written again, a store that does not answer writes delays that.

What callers saw: "the homes of group ... are not up yet" for up to nine seconds at a restarted daemon.

TestInstancesAreKnownBeforeTheRegistration failed before.

Change: a list that was read from the first place is applied before the registration. The daemon uses no lease before it is registered, as before.

Result: the test passes.

--- a/storesync/join.go
+++ b/storesync/join.go
@@ -117,10 +117,20 @@
 	case !complete:
 		return f.add(backoff, known, restartDelay)
 	default:
+		// The others may serve this instance's callers while the store does not confirm the registration.
+		f.setInstances(f.withSelf(known))
 		return f.add(backoff, known, registrationDelay)
 	}
 }
 
+// withSelf returns the list with this instance, if the list lacks it.
+func (f *Syncer) withSelf(list []citronusher.Instance) []citronusher.Instance {
+	if slices.ContainsFunc(list, f.config.Self.SameDaemon) {
+		return list
+	}
+	return append(slices.Clone(list), f.config.Self)
+}
+
 // add registers this instance and returns the instances of the fleet. It reads them with a delay, to include the instances
 // that start at the same time. When they cannot be read again it returns the known ones.
 func (f *Syncer) add(
@@ -140,10 +150,7 @@
 	if reread, _, err := f.config.Store.SomeInstances(ctx); err == nil {
 		known = reread
 	}
-	if !f.listed(known) {
-		known = append(known, f.config.Self)
-	}
-	return known, nil
+	return f.withSelf(known), nil
 }
 
 // recordRegistered records that this instance is registered: by its own row, or by one that an earlier process left in the
--- a/storesync/registration_test.go
+++ b/storesync/registration_test.go
@@ -133,3 +133,37 @@
 		})
 	}
 }
+
+// TestInstancesAreKnownBeforeTheRegistration guards against a restarted instance that cannot forward its callers'
+// statements to the homes, because the store does not confirm its registration.
+func TestInstancesAreKnownBeforeTheRegistration(t *testing.T) {
+	for _, count := range []int{6, 40} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newFakeFleet()
+			w.start(count)
+			defer w.close(t)
+			time.Sleep(2 * time.Second)
+			restarted := w.instances[0]
+			w.set(func() {
+				w.readOnly = true
+				w.instances = slices.Clone(w.instances)
+				w.instances[0] = restarted.WithState(citronusher.InstanceLeaving)
+				delete(w.registered, restarted.Name())
+			})
+			w.restart(t, []citronusher.Instance{restarted})
+			time.Sleep(time.Second)
+			f := w.followers[restarted.Name()]
+			f.mu.Lock()
+			known := len(f.instances)
+			f.mu.Unlock()
+			if known != count || !f.Synced() {
+				t.Errorf("fleet of %d: %d instances are known, synced %t", count, known, f.Synced())
+			}
+			w.set(func() {
+				if w.registered[restarted.Name()] {
+					t.Errorf("fleet of %d: registered without a write", count)
+				}
+			})
+		})
+	}
+}
--- a/storesync/storesync_test.go
+++ b/storesync/storesync_test.go
@@ -29,6 +29,7 @@
 	latency      time.Duration   // of a call to the store
 	cutOff       map[string]bool // instances whose calls to the store are not answered
 	unresponsive map[string]bool // instances that do not answer the others
+	readOnly     bool            // the store accepts no writes
 	followers    map[string]*Syncer
 	registered   map[string]bool // instances that count as registered, by their own account
 }
@@ -184,6 +185,9 @@
 	}
 	v.fleet.mu.Lock()
 	defer v.fleet.mu.Unlock()
+	if v.fleet.readOnly {
+		return citronusher.ErrUnavailable
+	}
 	instances := slices.DeleteFunc(slices.Clone(v.fleet.instances), func(i citronusher.Instance) bool {
 		return i.Name() == instance.Name()
 	})
