Events 428, 429 and 508: why a lease began or ended, and answers that came after it

The logs of all daemons did not tell by which proof a lease on a primary had begun, why one had ended without a release or a replica's report, or whether an answer that was passed on had come after the lease of the primary had ended.

428 names the proof and the age of the request that it rests on; 429 the reason; 508 when a statement was sent, when its answer came and until when the lease held, in milliseconds since the machine's start. 508 is logged at most each 100 ms a group, under the mutex that Conn.Run takes anyway: two compares a statement.

--- a/events/events.go
+++ b/events/events.go
@@ -52,6 +52,8 @@
 	LeaseReleased        Event = 420
 	LeaseReleaseFailed   Event = 421
 	LeaseExpired         Event = 422
+	LeaseBegan           Event = 428
+	LeaseEnded           Event = 429
 	AuthenticationFailed Event = 501
 	CallerFailed         Event = 502
 	RequestUnknown       Event = 503
@@ -59,6 +61,7 @@
 	TransactionExpired   Event = 505
 	RequestRetried       Event = 506
 	LatencyGoalMissed    Event = 507
+	LateAnswer           Event = 508
 	EditAccepted         Event = 601
 	EditRejected         Event = 602
 	DrainRequested       Event = 603
@@ -118,6 +121,8 @@
 	LeaseReleased:        {slog.LevelInfo, "lease on the primary was released for a promotion"},
 	LeaseReleaseFailed:   {slog.LevelWarn, "a daemon did not confirm the release of its lease; waiting until it expires"},
 	LeaseExpired:         {slog.LevelWarn, "lease on the primary is not valid, and no replica renewed it"},
+	LeaseBegan:           {slog.LevelInfo, "lease on the primary is valid from now on"},
+	LeaseEnded:           {slog.LevelInfo, "lease on the primary was ended by what a member reported"},
 	AuthenticationFailed: {slog.LevelWarn, "caller's authentication failed"},
 	CallerFailed:         {slog.LevelDebug, "caller's connection failed"},
 	RequestUnknown:       {slog.LevelWarn, "request ended with an unknown outcome"},
@@ -125,6 +130,7 @@
 	TransactionExpired:   {slog.LevelInfo, "open transaction was rolled back: it was idle, or the daemon is stopping"},
 	RequestRetried:       {slog.LevelInfo, "statement did not run, or is a read, and is retried"},
 	LatencyGoalMissed:    {slog.LevelInfo, "request was served after its latency goal"},
+	LateAnswer:           {slog.LevelInfo, "primary answered when its lease had ended, or long after the statement was sent"},
 	EditAccepted:         {slog.LevelInfo, "operator's edit was accepted"},
 	EditRejected:         {slog.LevelWarn, "operator's edit returned an error"},
 	DrainRequested:       {slog.LevelInfo, "operator requested a drain"},
--- a/targets/conn.go
+++ b/targets/conn.go
@@ -217,6 +217,7 @@
 	}
 	if h.primary {
 		g.primaryUsedAt = now
+		g.logLate(h, sentAt, now)
 	}
 	if err == nil && !answers[len(answers)-1].Refusal.NotRun() {
 		g.queue.ObserveServed(h.ticket, now.Sub(sentAt), now)
@@ -256,8 +257,7 @@
 		h.conn.state.MarkUncertain()
 	case citronusher.RefusalReadOnly:
 		if h.primary && g.lease.Term() == h.term && !g.lease.Closed() {
-			g.lease.Close()
-			g.wakeLoop()
+			g.endLease("primary refused a write")
 		}
 	}
 }
--- a/targets/discover.go
+++ b/targets/discover.go
@@ -175,7 +175,10 @@
 		return false
 	}
 	p.claim = claim
-	p.establish(&newLease)
+	valid := newLease.Valid(now)
+	if p.establish(&newLease) && !valid {
+		g.logBegan(&newLease, found.id, p.name(), now)
+	}
 	g.setPrimary(found, newLease, now)
 	return true
 }
--- a/targets/establish.go
+++ b/targets/establish.go
@@ -47,6 +47,14 @@
 	}
 }
 
+// name returns the proof by which establish begins a lease.
+func (p proof) name() proofName {
+	if p.claim == claimFree {
+		return proofClaimFree
+	}
+	return proofAllReplicas
+}
+
 // observeReports applies the replies of members other than the primary to the lease and returns what they show. The caller
 // holds mu.
 func (g *Group) observeReports(
@@ -145,9 +153,13 @@
 	}
 	p := g.observeReports(&g.lease, primary, replies, g.now())
 	p.claim = claim
+	valid := g.lease.Valid(g.now())
 	if !p.establish(&g.lease) {
 		return false
 	}
+	if !valid {
+		g.logBegan(&g.lease, primary, p.name(), g.now())
+	}
 	g.renewing = false
 	g.renewalSentAt = p.newest
 	g.notifyChanged()
--- a/targets/group.go
+++ b/targets/group.go
@@ -33,6 +33,7 @@
 	renewing            bool                // a renewal is in progress
 	nextRenewalAt       citronusher.Instant // when the next renewal may begin after one failed
 	expiredAt           citronusher.Instant // when the expiry of the lease was last logged
+	lateLoggedAt        citronusher.Instant // when a late answer of the primary was last logged
 	primaryCheckedAt    citronusher.Instant // when a primary whose lease no replica renews was last checked
 	discovering         bool                // a discovery of the primary is in progress
 	discoveredAt        citronusher.Instant // when the last discovery began
@@ -138,8 +139,8 @@
 // losePrimary ends the lease on a primary that is no longer a member, so that another primary is looked for, and one is
 // promoted when there is none. The caller holds mu.
 func (g *Group) losePrimary(now citronusher.Instant) {
+	g.endLease("primary was removed")
 	g.primary = ""
-	g.lease.Close()
 	g.markUnavailable(now, false)
 	g.notifyChanged()
 }
--- a/targets/renew.go
+++ b/targets/renew.go
@@ -68,7 +68,11 @@
 	age, err := g.set.config.Peers.LeaseRenewalAge(ctx, renewer, g.name, term)
 	cancel()
 	g.mu.Lock()
+	valid := g.lease.Valid(g.now())
 	if err == nil && g.lease.ObservePeerRenewal(term, sentAt.Add(-age)) == lease.Renewed {
+		if !valid && g.lease.Valid(g.now()) {
+			g.logBegan(&g.lease, g.primary, proofPeer, g.now())
+		}
 		g.renewalSentAt = max(g.renewalSentAt, sentAt.Add(-age))
 		g.notifyChanged()
 		g.dispatch(g.now())
