A renewal older than the group or the registration begins no lease

A daemon that is asked to release a lease on a group that it has not opened records nothing, and one that is registered after the promoter has read the list is not asked at all. Both could then find the old primary as the only member that answers, and take over the renewal of another daemon that was requested before the replicas were paused: a lease of up to 1.5 s from then, which nobody waits for.

TestOldRenewalOfAPeerBeginsNoLease failed before: requested before the group was opened: ready true, want false requested before the daemon was registered: ready true, want false requested before the daemon was registered again: ready true, want false

What was requested before the group was opened, or before the daemon got registered, no longer begins a lease. A renewal that was requested since does, as before.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -9,6 +9,9 @@
 //
 // Deadlines count from when the status request was sent, on a clock that also runs while the machine is suspended. The
 // package does no I/O and starts no goroutines.
+//
+// A daemon that has no lease, or that nobody can find, is not waited for. What was requested before it could be found, or
+// before it kept a lease that it could release, begins none.
 package lease
 
 import (
@@ -51,6 +54,9 @@
 	l.after = max(l.after, now)
 }
 
+// IgnoreBefore makes statuses and renewals count only if they are requested at now or later, for this lease and later ones.
+func (l *Lease) IgnoreBefore(now citronusher.Instant) { l.after = max(l.after, now-1) }
+
 // Term returns the lease's term; 0 when there is none.
 func (l *Lease) Term() uint64 { return l.term }
 
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -56,6 +56,8 @@
 				fmt.Fprintf(&out, "%s: %s\n", line, verdicts[verdict])
 			case "release":
 				r.Release(at(number(t, fields[1])))
+			case "ignore": // ignore before AT
+				r.IgnoreBefore(at(number(t, fields[2])))
 			case "valid":
 				fmt.Fprintf(&out, "%s: %t\n", line, r.Valid(at(number(t, fields[2]))))
 			}
--- a/targets/group.go
+++ b/targets/group.go
@@ -56,11 +56,15 @@
 	err    error
 }
 
+// newGroup returns a group without members. A release that was requested before this is not known to it, so that what was
+// requested before begins no lease.
 func newGroup(s *Set, name string) *Group {
-	return &Group{
+	g := &Group{
 		set: s, name: name, done: make(chan struct{}), members: map[string]*member{}, waiting: map[*schedule.Ticket]chan grant{},
 		changed: make(chan struct{}), wakeLoopC: make(chan struct{}, 1),
 	}
+	g.lease.IgnoreBefore(g.now())
+	return g
 }
 
 // connectionShare is how the connections to each member of a group are divided among instances.
--- a/targets/renew.go
+++ b/targets/renew.go
@@ -35,6 +35,13 @@
 	g.notifyChanged()
 }
 
+// ignoreBefore makes statuses and renewals begin or renew a lease only if they are requested at now or later.
+func (g *Group) ignoreBefore(now citronusher.Instant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lease.IgnoreBefore(now)
+}
+
 // renewIfNeeded starts a renewal of the lease if one is due and requests use the primary. The lease renewer of the group
 // renews at a replica, and the other instances take over its renewals. It also renews an unused lease until the group is
 // recorded as free. The caller holds mu.
--- /dev/null
+++ b/targets/renew_test.go
@@ -0,0 +1,62 @@
+package targets
+
+import (
+	"testing"
+	"time"
+
+	"citronusher.example/citronusher"
+)
+
+// TestOldRenewalOfAPeerBeginsNoLease guards against a second primary in use: a daemon that had no lease when another one
+// asked for its release, or was not listed then, takes over a renewal that was requested before the members were paused.
+func TestOldRenewalOfAPeerBeginsNoLease(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		start func(f *fakeGroup) *Group // up to the opened group
+		age   time.Duration             // of the renewal, 10 ms after the start
+		valid bool
+	}{
+		{"requested before the group was opened", func(f *fakeGroup) *Group {
+			f.set.ReleaseLease("g", 1)
+			f.advance(time.Millisecond)
+			return f.open()
+		}, 100 * time.Millisecond, false},
+		{"requested since", func(f *fakeGroup) *Group {
+			f.set.ReleaseLease("g", 1)
+			f.advance(time.Millisecond)
+			return f.open()
+		}, 5 * time.Millisecond, true},
+		{"requested before the daemon was registered", func(f *fakeGroup) *Group {
+			f.set.registered.Store(false)
+			g := f.open()
+			f.advance(time.Second)
+			f.set.SetRegistered()
+			return g
+		}, 100 * time.Millisecond, false},
+		{"requested before the daemon was registered again", func(f *fakeGroup) *Group {
+			g := f.open()
+			f.advance(time.Second)
+			f.set.SetUnregistered()
+			f.advance(time.Second)
+			f.set.SetRegistered()
+			return g
+		}, 100 * time.Millisecond, false},
+		{"a registration that is confirmed changes nothing", func(f *fakeGroup) *Group {
+			g := f.open()
+			f.advance(time.Second)
+			f.set.SetRegistered()
+			return g
+		}, 100 * time.Millisecond, true},
+	} {
+		f := newFakeGroup(t)
+		f.members["b"].silent, f.members["c"].silent = true, true
+		g := c.start(f)
+		f.advance(10 * time.Millisecond)
+		g.discover()
+		f.peers.age, f.peers.err = c.age, nil
+		g.renewFromPeer(citronusher.Instance{})
+		if g.Ready() != c.valid {
+			t.Errorf("%s: ready %t, want %t", c.name, g.Ready(), c.valid)
+		}
+	}
+}
--- a/targets/set.go
+++ b/targets/set.go
@@ -116,9 +116,20 @@
 	return g.leaseRenewalAge(term)
 }
 
-// SetRegistered records that this instance is registered in the store, which allows it to use leases: before
-// a promotion, all registered instances are requested to release theirs.
-func (s *Set) SetRegistered() { s.registered.Store(true) }
+// SetRegistered records that this instance is registered in the store, which allows it to use leases: before a promotion,
+// all registered instances are requested to release theirs. A promotion that began before may not have asked this one, so
+// that what was requested before begins no lease.
+func (s *Set) SetRegistered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.registered.Load() {
+		return
+	}
+	for _, g := range s.groups {
+		g.ignoreBefore(g.now())
+	}
+	s.registered.Store(true)
+}
 
 // SetUnregistered records that this instance may no longer be registered in the store. Its leases end, and none begins
 // before SetRegistered is called again.
