A member's newer term counts in whatever it was reported

A daemon that has seen the promoted member lead adopts the primary that the members report, with its own claim as proof that nobody replaces it. The term that it had just seen was not kept: when the new primary was too busy to answer again, the old one was the primary of the highest term among the replies, and a replica that had not heard of the new term began a lease on it, after the promotion had taken effect. As the lease renewer the daemon passed it on to the others. Reads there lack what the new primary acknowledged (STALE); writes are acknowledged until the old one steps down (ONE).

Each status that a member returns, to whatever request, now raises the highest term, below which no primary is adopted, and ends a lease of an older term.

--- a/targets/discover.go
+++ b/targets/discover.go
@@ -111,6 +111,9 @@
 	if !failed {
 		m.observeRunning(c.openedAt, r.sentAt)
 	}
+	if r.err == nil {
+		g.observeTerm(r.status.Term, r.id)
+	}
 	_, pooled := m.conns[c]
 	if failed || !pooled || g.closed {
 		delete(m.conns, c)
@@ -157,7 +160,7 @@
 	now := g.now()
 	for _, r := range replies {
 		if r.err == nil {
-			g.highestTerm = max(g.highestTerm, r.status.Term)
+			g.observeTerm(r.status.Term, r.id)
 		}
 	}
 	found := reportedPrimary(replies)
@@ -183,6 +186,15 @@
 	return true
 }
 
+// observeTerm records that a member has reported a term. It ends a lease of an older term, and a primary of an older term is
+// not adopted from then on. The caller holds mu.
+func (g *Group) observeTerm(term uint64, member string) {
+	g.highestTerm = max(g.highestTerm, term)
+	if term > g.lease.Term() && g.lease.Term() != 0 && !g.lease.Closed() {
+		g.endLease("member " + member + " reported a newer term")
+	}
+}
+
 // reportedPrimary returns the primary of the highest term among replies, or nil.
 func reportedPrimary(replies []memberReply) *memberReply {
 	var found *memberReply
--- a/targets/watch.go
+++ b/targets/watch.go
@@ -138,7 +138,7 @@
 func (g *Group) probe(m *member) {
 	c, err := g.dial(m, g.now().Add(probeTimeout))
 	if err == nil {
-		r := memberReply{sentAt: g.now()}
+		r := memberReply{id: m.report.ID, sentAt: g.now()}
 		r.status, r.err = c.link.Status(r.sentAt.Add(probeTimeout))
 		status, err := r.status, r.err
 		g.set.config.Meter.Probes().Inc(1)
