An answer whose position is of a newer term ends the lease

READY carries the member's log position with each answer, TERM.NUMBER. A daemon that got one of a newer term from the primary itself, which had become a replica of the new one, or from a replica, used the primary on until a write was refused or a status arrived: reads on it lack what the new primary acknowledged (STALE without ONE, as each write is refused).

TestAnswerOfANewerTermEndsTheLease failed before: member a, position of term 2: lease valid true the primary of the older term was adopted again

The term of each position counts as that of a status does. It costs one compare a statement.

--- a/targets/conn.go
+++ b/targets/conn.go
@@ -239,11 +239,12 @@
 	answer citronusher.Answer, command citronusher.Command, sentAt citronusher.Instant, valid bool, now citronusher.Instant,
 ) {
 	g := h.group
-	if valid {
+	if valid && answer.Position.Term() <= h.term {
 		g.history.Observe(answer.Position, sentAt)
 	}
 	if !answer.Position.IsZero() {
 		h.member.position = answer.Position
+		g.observeTerm(answer.Position.Term(), h.id)
 	}
 	switch answer.Refusal {
 	case citronusher.RefusalNone:
