No answer of a primary is passed on unless its lease is valid afterwards

Reads on a primary, statements of a transaction and commits without writes checked the lease before they were sent for the most, and later statements of a transaction not even then. Only writes waited for the lease after their answer. A member or a connection that was frozen runs a statement late, when another member may lead: the answer, a value of a superseded primary, was passed on.

targets.Conn.Run is now the only way to send something to a primary, and checks the lease on both sides of it; CheckLease and Confirm are gone, so that no caller can leave them out. A read alone whose answer cannot be confirmed runs elsewhere; a transaction is rolled back as not run. An answer whose lease has only expired waits for the renewal, and a primary with a statement or transaction open counts as used, so that its lease is renewed meanwhile.

Cost: the second check is part of the mutex section that records the answer.

--- a/execute/execute.go
+++ b/execute/execute.go
@@ -4,6 +4,7 @@
 package execute
 
 import (
+	"errors"
 	"log/slog"
 	"time"
 
@@ -154,17 +155,18 @@
 func (e *Executor) runAutocommitOn(
 	conn *targets.Conn, task citronusher.Task, requirement schedule.Requirement,
 ) (*citronusher.Answer, error) {
-	if err := conn.CheckLease(); err != nil {
-		conn.Release()
-		return nil, err
-	}
-	e.countRequest(conn, task.Route)
 	command := citronusher.Command{Statement: task.Statement}
 	if !conn.Primary() {
 		command.After = requirement.MinPosition
 	}
 	answer, err := send(conn, task, command, task.Deadline().Add(answerGrace))
-	if err != nil {
+	if errors.Is(err, targets.ErrNotSent) {
+		conn.Release()
+		return nil, leaseEnded(err)
+	}
+	e.countRequest(conn, task.Route)
+	unconfirmed := errors.Is(err, targets.ErrUnconfirmed)
+	if err != nil && !unconfirmed {
 		conn.Discard()
 		return nil, connectionLost(err, task.Writes)
 	}
@@ -176,17 +178,30 @@
 		conn.Release()
 		return nil, rejected(answer.Refusal)
 	}
+	conn.Release()
+	if unconfirmed {
+		return nil, notConfirmed(err, task.Writes)
+	}
 	if task.Writes && answer.Refusal == citronusher.RefusalNone {
-		if err := conn.Confirm(task.Deadline()); err != nil {
-			conn.Release()
-			return nil, err
-		}
 		e.position = answer.Position
 	}
-	conn.Release()
 	return answer, nil
 }
 
+// leaseEnded returns the failure of a statement that was not sent to the primary, or that has had no effect there.
+func leaseEnded(err error) *citronusher.Failure {
+	return citronusher.NewNotRun(citronusher.ReasonClosed, "%v", err)
+}
+
+// notConfirmed returns the failure of a statement that the primary has answered after another one may have taken over. The
+// outcome is not run for a read, whose answer is dropped, and unknown for a write.
+func notConfirmed(err error, writes bool) *citronusher.Failure {
+	if writes {
+		return citronusher.NewUnknown(citronusher.ReasonConfirm, "%v", err)
+	}
+	return leaseEnded(err)
+}
+
 // countRequest counts a request that was sent to the primary or a replica, and whether a replica may serve it.
 func (e *Executor) countRequest(conn *targets.Conn, route citronusher.Route) {
 	if route.Consistency != citronusher.ConsistencyPrimary {
--- a/execute/transaction.go
+++ b/execute/transaction.go
@@ -1,8 +1,11 @@
 package execute
 
 import (
+	"errors"
+
 	"citronusher.example/citronusher"
 	"citronusher.example/citronusher/schedule"
+	"citronusher.example/citronusher/targets"
 )
 
 // runFirst begins a transaction and runs its first statement. If the statement did not run, the transaction is begun
@@ -76,11 +79,6 @@
 // beginOn begins the transaction on the connection of e. If that fails, it releases or discards the connection.
 func (e *Executor) beginOn(task citronusher.Task, requirement schedule.Requirement) *citronusher.Failure {
 	conn := e.conn
-	if err := conn.CheckLease(); err != nil {
-		conn.Release()
-		return citronusher.AsFailure(err)
-	}
-	e.countRequest(conn, task.Route)
 	begin := citronusher.Command{Statement: citronusher.Statement{Kind: citronusher.StatementBegin}}
 	if task.ReadOnly {
 		begin.Statement.Kind = citronusher.StatementBeginReadOnly
@@ -89,6 +87,11 @@
 		}
 	}
 	answer, err := send(conn, task, begin, task.Deadline())
+	if errors.Is(err, targets.ErrNotSent) {
+		conn.Release()
+		return leaseEnded(err)
+	}
+	e.countRequest(conn, task.Route)
 	if err != nil {
 		conn.Discard()
 		return citronusher.NewNotRun(citronusher.ReasonBroken,
@@ -107,8 +110,19 @@
 	}
 }
 
+// unconfirmedTransaction returns the failure of a statement in a transaction whose primary may have been replaced. Nothing
+// of the transaction is kept.
+func unconfirmedTransaction(err error) *citronusher.Failure {
+	return citronusher.NewNotRun(citronusher.ReasonGone, "%v; the transaction is rolled back", err)
+}
+
+// endedByLease reports whether a statement failed because the primary's lease ended, on a connection that is in order.
+func endedByLease(err error) bool {
+	return errors.Is(err, targets.ErrNotSent) || errors.Is(err, targets.ErrUnconfirmed)
+}
+
 // runInTransaction runs a statement on the transaction's connection and returns the answer. It discards the connection when
-// the connection or its session setup fails, or when the transaction is no longer open.
+// the connection or its session setup fails, when the primary's lease ends, or when the transaction is no longer open.
 func (e *Executor) runInTransaction(task citronusher.Task) (*citronusher.Answer, error) {
 	conn := e.conn
 	if e.trace.Attempts == 0 {
@@ -119,6 +133,9 @@
 	if err != nil {
 		conn.Discard()
 		e.conn = nil
+		if endedByLease(err) {
+			return nil, unconfirmedTransaction(err)
+		}
 		return nil, transactionLost()
 	}
 	if answer.State == citronusher.StateIdle {
@@ -129,8 +146,8 @@
 	return answer, nil
 }
 
-// commit runs the transaction's commit, beginning the transaction first if the commit is its first statement. A commit
-// after writes succeeds only once the primary's term is confirmed.
+// commit runs the transaction's commit, beginning the transaction first if the commit is its first statement. When the
+// primary's lease ended, the outcome is unknown after writes, and not run otherwise: nothing was to be kept.
 func (e *Executor) commit(task citronusher.Task) (*citronusher.Answer, error) {
 	if task.Part == citronusher.PartFirst {
 		if err := e.begin(task); err != nil {
@@ -146,7 +163,8 @@
 		e.recordConn(conn, citronusher.Position{})
 	}
 	answer, err := send(conn, task, citronusher.Command{Statement: task.Statement}, task.Deadline().Add(answerGrace))
-	if err != nil {
+	unconfirmed := errors.Is(err, targets.ErrUnconfirmed)
+	if err != nil && !unconfirmed {
 		conn.Discard()
 		return nil, commitLost(answer, err, wrote)
 	}
@@ -156,20 +174,23 @@
 		defer conn.Release()
 	}
 	conn.State().EndTransaction(answer.Refusal == citronusher.RefusalNone)
-	if answer.Refusal != citronusher.RefusalNone || !wrote {
-		return answer, nil
-	}
-	if err := conn.Confirm(task.Deadline()); err != nil {
-		return nil, err
+	switch {
+	case unconfirmed && wrote:
+		return nil, notConfirmed(err, true)
+	case unconfirmed:
+		return nil, unconfirmedTransaction(err)
+	case answer.Refusal == citronusher.RefusalNone && wrote:
+		e.position = answer.Position
 	}
-	e.position = answer.Position
 	return answer, nil
 }
 
-// commitLost returns the failure of a commit whose connection or session setup failed. answer is the answer to the commit,
-// if there is one.
+// commitLost returns the failure of a commit that was not sent, or whose connection or session setup failed. answer is the
+// answer to the commit, if there is one.
 func commitLost(answer *citronusher.Answer, err error, wrote bool) *citronusher.Failure {
 	switch {
+	case errors.Is(err, targets.ErrNotSent):
+		return unconfirmedTransaction(err)
 	case !wrote:
 		return citronusher.NewFailure(citronusher.Ran, citronusher.ReasonBroken,
 			"the member connection or its session setup failed during the commit of a transaction that wrote nothing")
@@ -189,9 +210,8 @@
 	if conn == nil {
 		return
 	}
-	rollback := citronusher.Command{Statement: citronusher.Statement{Kind: citronusher.StatementRollback}}
-	answers, err := conn.Run(e.config.Clock.Instant().Add(rollbackTimeout), rollback)
-	if err != nil || answers[0].State != citronusher.StateIdle {
+	answer, err := conn.Rollback(e.config.Clock.Instant().Add(rollbackTimeout))
+	if err != nil || answer.State != citronusher.StateIdle {
 		conn.Discard()
 		return
 	}
--- a/targets/conn.go
+++ b/targets/conn.go
@@ -15,6 +15,7 @@
 	id      string
 	conn    *pooledConn
 	primary bool
+	valid   bool // the lease was valid when the running commands were sent
 	pinned  bool // acquired for a transaction
 	term    uint64
 	ticket  *schedule.Ticket
@@ -179,67 +180,13 @@
 // State returns the connection's session state.
 func (h *Conn) State() *SessionState { return h.conn.state }
 
-// CheckLease returns an error if new work must not begin on the connection. A connection to the primary requires a
-// valid lease of the term under which the connection was acquired; one to a replica needs no lease.
-func (h *Conn) CheckLease() error {
-	if !h.primary {
-		return nil
-	}
-	h.group.mu.Lock()
-	defer h.group.mu.Unlock()
-	if h.group.lease.Term() != h.term || !h.group.lease.Valid(h.group.now()) {
-		return citronusher.NewNotRun(citronusher.ReasonClosed, "the primary lease of term %d is no longer valid", h.term)
-	}
-	return nil
-}
-
-// Run sends commands and returns their answers. If it fails, it returns the answers that arrived along with the error.
-func (h *Conn) Run(deadline citronusher.Instant, commands ...citronusher.Command) ([]citronusher.Answer, error) {
-	g := h.group
-	sentAt := g.now()
-	g.mu.Lock()
-	h.conn.sentAt = sentAt
-	h.member.running++
-	if h.pinned {
-		h.member.inTransaction++
-	}
-	valid := h.primary && g.lease.Term() == h.term && g.lease.Valid(sentAt)
-	g.mu.Unlock()
-	answers, err := h.conn.link.Run(deadline, commands...)
-	now := g.now()
-	g.set.config.Meter.MemberTime().Update(now.Sub(sentAt).Microseconds())
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	h.conn.sentAt = 0
-	h.member.running--
-	if h.pinned {
-		h.member.inTransaction--
-	}
-	if h.primary {
-		g.primaryUsedAt = now
-		g.logLate(h, sentAt, now)
-	}
-	if err == nil && !answers[len(answers)-1].Refusal.NotRun() {
-		g.queue.ObserveServed(h.ticket, now.Sub(sentAt), now)
-	}
-	for i, answer := range answers {
-		h.member.lastResponseAt = now
-		h.member.observeRunning(h.conn.openedAt, sentAt)
-		h.observeAnswer(answer, commands[i], sentAt, valid, now)
-	}
-	if err != nil {
-		g.wakeLoop()
-	}
-	return answers, err
-}
-
 // observeAnswer updates the state of the member, and the group's position history, from an answer. Only positions that
 // were requested under a valid lease go into the history. The caller holds the group's mu.
 func (h *Conn) observeAnswer(
-	answer citronusher.Answer, command citronusher.Command, sentAt citronusher.Instant, valid bool, now citronusher.Instant,
+	answer citronusher.Answer, command citronusher.Command, sentAt, now citronusher.Instant,
 ) {
 	g := h.group
-	if valid && answer.Position.Term() <= h.term {
+	if h.valid && answer.Position.Term() <= h.term {
 		g.history.Observe(answer.Position, sentAt)
 	}
 	if !answer.Position.IsZero() {
@@ -263,36 +210,6 @@
 	}
 }
 
-// Confirm waits until the lease is valid at a time after the last answer, which proves that no other primary had taken
-// over when that answer arrived. Its error is a *citronusher.Failure whose outcome is Unknown.
-func (h *Conn) Confirm(deadline citronusher.Instant) error {
-	g := h.group
-	startedAt := g.now()
-	timer := time.NewTimer(max(0, deadline.Sub(startedAt)))
-	defer timer.Stop()
-	defer func() { g.set.config.Meter.ConfirmTime().Update(g.now().Sub(startedAt).Microseconds()) }()
-	for {
-		g.mu.Lock()
-		unchanged := h.primary && g.lease.Term() == h.term && !g.lease.Closed()
-		valid := unchanged && g.lease.Valid(g.now())
-		changed := g.changed
-		g.mu.Unlock()
-		if valid {
-			return nil
-		}
-		if !unchanged {
-			return citronusher.NewUnknown(citronusher.ReasonConfirm,
-				"the lease of term %d was released or superseded while the write ran", h.term)
-		}
-		g.wakeLoop()
-		select {
-		case <-changed:
-		case <-timer.C:
-			return citronusher.NewUnknown(citronusher.ReasonConfirm, "the primary's term %d could not be confirmed in time", h.term)
-		}
-	}
-}
-
 // Release returns the connection for use by other requests. Its session state must match State, and no transaction may be
 // open on it.
 func (h *Conn) Release() {
--- a/targets/conn_test.go
+++ b/targets/conn_test.go
@@ -1,6 +1,7 @@
 package targets
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -24,8 +25,9 @@
 			valid bool
 		}{{1, true}, {2, false}} {
 			position = citronusher.NewPosition(c.term, 8)
-			if _, err := conn.Run(citronusher.Never, citronusher.Command{}); err != nil {
-				t.Fatal(err)
+			_, err := conn.Run(citronusher.Never, 0, citronusher.Command{})
+			if unconfirmed := id == "a" && !c.valid; errors.Is(err, ErrUnconfirmed) != unconfirmed {
+				t.Errorf("member %s, position of term %d: %v", id, c.term, err)
 			}
 			if g.Ready() != c.valid {
 				t.Errorf("member %s, position of term %d: lease valid %t", id, c.term, g.Ready())
--- a/targets/fake_test.go
+++ b/targets/fake_test.go
@@ -123,7 +123,7 @@
 	log     *fakeLog
 }
 
-func newFakeGroup(t *testing.T) *fakeGroup {
+func newFakeGroup(t testing.TB) *fakeGroup {
 	t.Helper()
 	f := &fakeGroup{
 		timer: &fakeTimer{now: citronusher.Instant(0).Add(time.Hour)}, members: fakeMembers{}, store: &fakeStore{},
--- a/targets/record.go
+++ b/targets/record.go
@@ -44,8 +44,7 @@
 // sent. Times are in milliseconds since the machine's start, so that the logs of its daemons can be compared. The caller
 // holds mu.
 func (g *Group) logLate(h *Conn, sentAt, now citronusher.Instant) {
-	valid := g.lease.Term() == h.term && g.lease.Valid(now)
-	if valid && now.Sub(sentAt) < lateAnswerAge || now < g.lateLoggedAt.Add(lateLogSpacing) {
+	if h.leased(now) && now.Sub(sentAt) < lateAnswerAge || now < g.lateLoggedAt.Add(lateLogSpacing) {
 		return
 	}
 	g.lateLoggedAt = now
--- a/targets/record_test.go
+++ b/targets/record_test.go
@@ -1,6 +1,7 @@
 package targets
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -48,7 +49,7 @@
 	conn := acquire(t, g)
 	sent := f.timer.now
 	for range 3 {
-		if _, err := conn.Run(sent.Add(time.Minute), citronusher.Command{}); err != nil {
+		if _, err := conn.Run(sent.Add(time.Minute), 0, citronusher.Command{}); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -59,8 +60,8 @@
 		f.advance(1600 * time.Millisecond)
 		return citronusher.Answer{}
 	}
-	if _, err := conn.Run(sent.Add(time.Minute), citronusher.Command{}); err != nil {
-		t.Fatal(err)
+	if _, err := conn.Run(sent.Add(time.Minute), 0, citronusher.Command{}); !errors.Is(err, ErrUnconfirmed) {
+		t.Errorf("the answer was passed on: %v", err)
 	}
 	late := f.log.of(events.LateAnswer)
 	if len(late) != 1 {
--- a/targets/renew.go
+++ b/targets/renew.go
@@ -48,7 +48,7 @@
 func (g *Group) renewIfNeeded(now citronusher.Instant) {
 	renewer, isPeer := g.set.leaseRenewer(g.name)
 	unrecorded := !isPeer && g.home && g.recordedEra != g.set.config.Store.Era().Number
-	used := g.queue.PrimaryLen() > 0 || now < g.primaryUsedAt.Add(leaseIdleTimeout) || unrecorded
+	used := g.queue.PrimaryLen() > 0 || now < g.primaryUsedAt.Add(leaseIdleTimeout) || unrecorded || g.primaryInUse()
 	due := now >= g.renewalSentAt.Add(renewInterval) && now >= g.nextRenewalAt
 	if g.renewing || g.lease.Term() == 0 || g.lease.Closed() || !used || !due {
 		return
@@ -64,6 +64,13 @@
 	}
 }
 
+// primaryInUse reports whether a request holds a connection to the primary, so that its answer will need the lease. The
+// caller holds mu.
+func (g *Group) primaryInUse() bool {
+	primary := g.members[g.primary]
+	return primary != nil && primary.inUse > 0
+}
+
 // renewFromPeer renews the lease with a renewal of the lease renewer. If that fails and the last renewal is older than
 // replicaRenewalAge, it queries the replicas.
 func (g *Group) renewFromPeer(renewer citronusher.Instance) {
--- a/targets/renew_test.go
+++ b/targets/renew_test.go
@@ -60,3 +60,29 @@
 		}
 	}
 }
+
+// TestLeaseLastsForARunningStatement guards against an answer that is dropped because its statement took longer than an
+// unused lease is renewed.
+func TestLeaseLastsForARunningStatement(t *testing.T) {
+	for _, inUse := range []bool{false, true} {
+		f := newFakeGroup(t)
+		g := f.open()
+		f.advance(time.Millisecond)
+		g.discover()
+		conn := acquire(t, g)
+		if !inUse {
+			conn.Discard()
+		}
+		f.advance(leaseIdleTimeout)
+		g.mu.Lock()
+		g.renewIfNeeded(f.timer.now)
+		renews := g.renewing
+		g.mu.Unlock()
+		if renews != inUse {
+			t.Errorf("in use %t: renews %t", inUse, renews)
+		}
+		if err := f.set.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
