A lease that the primary has shown to be over is not brought back by older proof

A lease that ended because the primary refused a write, answered as a replica or was removed could begin again, for the same term, by a renewal or a report that had been requested before: only a release recorded from when on proof counts.

TestEndedLeaseIsNotRenewedByOldProof failed before: renewed 50ms ago: lease valid true

These ends now set that time as a release does. A lease that ends by a newer term does not: what was requested before counts for the new term, and the old one's primary is not adopted any more.

--- a/targets/conn.go
+++ b/targets/conn.go
@@ -205,7 +205,7 @@
 		h.conn.state.MarkUncertain()
 	case citronusher.RefusalReadOnly:
 		if h.primary && g.lease.Term() == h.term && !g.lease.Closed() {
-			g.endLease("primary refused a write")
+			g.endLease("primary refused a write", now)
 		}
 	}
 }
--- a/targets/discover.go
+++ b/targets/discover.go
@@ -191,7 +191,9 @@
 func (g *Group) observeTerm(term uint64, member string) {
 	g.highestTerm = max(g.highestTerm, term)
 	if term > g.lease.Term() && g.lease.Term() != 0 && !g.lease.Closed() {
-		g.endLease("member " + member + " reported a newer term")
+		g.logEnded("member " + member + " reported a newer term")
+		g.lease.Close() // reports of the newer term that were requested before count
+		g.wakeLoop()
 	}
 }
 
--- a/targets/fake_test.go
+++ b/targets/fake_test.go
@@ -159,3 +159,11 @@
 }
 
 func (f *fakeGroup) advance(d time.Duration) { f.timer.now = f.timer.now.Add(d) }
+
+// settle waits for the background work that was started.
+func (f *fakeGroup) settle(t *testing.T) {
+	t.Helper()
+	if err := f.set.tasks.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/targets/group.go
+++ b/targets/group.go
@@ -143,7 +143,7 @@
 // losePrimary ends the lease on a primary that is no longer a member, so that another primary is looked for, and one is
 // promoted when there is none. The caller holds mu.
 func (g *Group) losePrimary(now citronusher.Instant) {
-	g.endLease("primary was removed")
+	g.endLease("primary was removed", now)
 	g.primary = ""
 	g.markUnavailable(now, false)
 	g.notifyChanged()
--- a/targets/record.go
+++ b/targets/record.go
@@ -29,15 +29,14 @@
 		string(by), "age", now.Sub(requestedAt).Milliseconds())
 }
 
-// endLease ends the lease for a reason other than a release or a replica's report, which have events of their own.
+// logEnded logs that the lease ends for a reason other than a release or a replica's report, which have events of their own.
 // The caller holds mu.
-func (g *Group) endLease(reason string) {
-	if !g.lease.Closed() {
-		events.Log(g.set.config.Logger, events.LeaseEnded, "group", g.name, "term", g.lease.Term(), "primary", g.primary,
-			"reason", reason)
+func (g *Group) logEnded(reason string) {
+	if g.lease.Closed() {
+		return
 	}
-	g.lease.Close()
-	g.wakeLoop()
+	events.Log(g.set.config.Logger, events.LeaseEnded, "group", g.name, "term", g.lease.Term(), "primary", g.primary,
+		"reason", reason)
 }
 
 // logLate logs an answer of the primary that came when the lease was not valid any more, or long after its statement was
--- a/targets/renew.go
+++ b/targets/renew.go
@@ -35,6 +35,14 @@
 	g.notifyChanged()
 }
 
+// endLease ends the lease, for a reason that does not show a newer term. What was requested until now begins no lease of the
+// same term again. The caller holds mu.
+func (g *Group) endLease(reason string, now citronusher.Instant) {
+	g.logEnded(reason)
+	g.lease.Release(now)
+	g.wakeLoop()
+}
+
 // ignoreBefore makes statuses and renewals begin or renew a lease only if they are requested at now or later.
 func (g *Group) ignoreBefore(now citronusher.Instant) {
 	g.mu.Lock()
--- a/targets/renew_test.go
+++ b/targets/renew_test.go
@@ -86,3 +86,32 @@
 		}
 	}
 }
+
+// TestEndedLeaseIsNotRenewedByOldProof guards against a lease that the primary itself has shown to be over, by refusing a
+// write, and that a renewal requested before then brings back.
+func TestEndedLeaseIsNotRenewedByOldProof(t *testing.T) {
+	f := newFakeGroup(t)
+	g := f.open()
+	f.advance(time.Millisecond)
+	g.discover()
+	f.members["a"].run = func() citronusher.Answer { return citronusher.Answer{Refusal: citronusher.RefusalReadOnly} }
+	f.members["b"].silent, f.members["c"].silent = true, true
+	f.advance(100 * time.Millisecond)
+	if _, err := acquire(t, g).Run(citronusher.Never, 0, citronusher.Command{}); err != nil || g.Ready() {
+		t.Fatalf("lease valid %t, error %v", g.Ready(), err)
+	}
+	f.peers.err = nil
+	for _, c := range []struct {
+		age   time.Duration
+		valid bool
+	}{{50 * time.Millisecond, false}, {5 * time.Millisecond, true}} {
+		f.advance(10 * time.Millisecond)
+		g.discover()
+		f.peers.age = c.age
+		g.renewFromPeer(citronusher.Instance{})
+		if g.Ready() != c.valid {
+			t.Errorf("renewed %s ago: lease valid %t", c.age, g.Ready())
+		}
+		f.settle(t)
+	}
+}
--- a/targets/watch.go
+++ b/targets/watch.go
@@ -145,7 +145,7 @@
 		g.mu.Lock()
 		superseded := status.Role == citronusher.RoleReplica || status.Term > g.lease.Term()
 		if err == nil && m.report.ID == g.primary && superseded {
-			g.endLease("primary reported another role or term")
+			g.endLease("primary reported another role or term", g.now())
 		}
 		g.mu.Unlock()
 		g.returnQueried(m, c, r)
