A daemon that the store turns away adopts no primary

SetUnregistered ends the leases, but a discovery that was in progress went on: its reports were requested after that, so that they began a new lease, at a daemon that no promotion asks for a release.

TestUnregisteredInstanceAdoptsNoPrimary failed before: adopted true, with a lease true

--- a/targets/discover.go
+++ b/targets/discover.go
@@ -164,6 +164,9 @@
 		}
 	}
 	found := reportedPrimary(replies)
+	if !g.set.registered.Load() {
+		return false // SetUnregistered ends the lease after this, or has before
+	}
 	if found == nil && anyBusy(replies) {
 		return false // a member that had no capacity to answer may be the primary
 	}
--- a/targets/discover_test.go
+++ b/targets/discover_test.go
@@ -36,3 +36,20 @@
 		t.Errorf("the primary is %s of term %d", g.primary, g.lease.Term())
 	}
 }
+
+// TestUnregisteredInstanceAdoptsNoPrimary guards against a lease that a discovery begins, which was in progress when the
+// store turned this instance away.
+func TestUnregisteredInstanceAdoptsNoPrimary(t *testing.T) {
+	f := newFakeGroup(t)
+	g := f.open()
+	f.advance(time.Millisecond)
+	f.set.SetUnregistered()
+	f.advance(time.Millisecond)
+	if adopted := g.adopt(g.queryAll(requestStatus)); adopted || g.Ready() {
+		t.Errorf("adopted %t, with a lease %t", adopted, g.Ready())
+	}
+	f.set.SetRegistered()
+	if adopted := g.adopt(g.queryAll(requestStatus)); !adopted || !g.Ready() {
+		t.Errorf("registered again: adopted %t, with a lease %t", adopted, g.Ready())
+	}
+}
