--- a/targets/discover.go
+++ b/targets/discover.go
@@ -111,6 +111,9 @@
 	if !failed {
 		m.observeRunning(c.openedAt, r.sentAt)
 	}
+	if r.err == nil {
+		g.observeTerm(r.status.Term, r.id)
+	}
 	_, pooled := m.conns[c]
 	if failed || !pooled || g.closed {
 		delete(m.conns, c)
@@ -157,10 +160,13 @@
 	now := g.now()
 	for _, r := range replies {
 		if r.err == nil {
-			g.highestTerm = max(g.highestTerm, r.status.Term)
+			g.observeTerm(r.status.Term, r.id)
 		}
 	}
 	found := reportedPrimary(replies)
+	if !g.set.registered.Load() {
+		return false // SetUnregistered ends the lease after this, or has before
+	}
 	if found == nil && anyBusy(replies) {
 		return false // a member that had no capacity to answer may be the primary
 	}
@@ -175,11 +181,25 @@
 		return false
 	}
 	p.claim = claim
-	p.establish(&newLease)
+	valid := newLease.Valid(now)
+	if p.establish(&newLease) && !valid {
+		g.logBegan(&newLease, found.id, p.name(), now)
+	}
 	g.setPrimary(found, newLease, now)
 	return true
 }
 
+// observeTerm records that a member has reported a term. It ends a lease of an older term, and a primary of an older term is
+// not adopted from then on. The caller holds mu.
+func (g *Group) observeTerm(term uint64, member string) {
+	g.highestTerm = max(g.highestTerm, term)
+	if term > g.lease.Term() && g.lease.Term() != 0 && !g.lease.Closed() {
+		g.logEnded("member " + member + " reported a newer term")
+		g.lease.Close() // reports of the newer term that were requested before count
+		g.wakeLoop()
+	}
+}
+
 // reportedPrimary returns the primary of the highest term among replies, or nil.
 func reportedPrimary(replies []memberReply) *memberReply {
 	var found *memberReply
--- a/targets/group.go
+++ b/targets/group.go
@@ -33,6 +33,7 @@
 	renewing            bool                // a renewal is in progress
 	nextRenewalAt       citronusher.Instant // when the next renewal may begin after one failed
 	expiredAt           citronusher.Instant // when the expiry of the lease was last logged
+	lateLoggedAt        citronusher.Instant // when a late answer of the primary was last logged
 	primaryCheckedAt    citronusher.Instant // when a primary whose lease no replica renews was last checked
 	discovering         bool                // a discovery of the primary is in progress
 	discoveredAt        citronusher.Instant // when the last discovery began
@@ -55,11 +56,15 @@
 	err    error
 }
 
+// newGroup returns a group without members. A release that was requested before this is not known to it, so that what was
+// requested before begins no lease.
 func newGroup(s *Set, name string) *Group {
-	return &Group{
+	g := &Group{
 		set: s, name: name, done: make(chan struct{}), members: map[string]*member{}, waiting: map[*schedule.Ticket]chan grant{},
 		changed: make(chan struct{}), wakeLoopC: make(chan struct{}, 1),
 	}
+	g.lease.IgnoreBefore(g.now())
+	return g
 }
 
 // connectionShare is how the connections to each member of a group are divided among instances.
@@ -138,8 +143,8 @@
 // losePrimary ends the lease on a primary that is no longer a member, so that another primary is looked for, and one is
 // promoted when there is none. The caller holds mu.
 func (g *Group) losePrimary(now citronusher.Instant) {
+	g.endLease("primary was removed", now)
 	g.primary = ""
-	g.lease.Close()
 	g.markUnavailable(now, false)
 	g.notifyChanged()
 }
--- a/targets/renew.go
+++ b/targets/renew.go
@@ -35,13 +35,28 @@
 	g.notifyChanged()
 }
 
+// endLease ends the lease, for a reason that does not show a newer term. What was requested until now begins no lease of the
+// same term again. The caller holds mu.
+func (g *Group) endLease(reason string, now citronusher.Instant) {
+	g.logEnded(reason)
+	g.lease.Release(now)
+	g.wakeLoop()
+}
+
+// ignoreBefore makes statuses and renewals begin or renew a lease only if they are requested at now or later.
+func (g *Group) ignoreBefore(now citronusher.Instant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lease.IgnoreBefore(now)
+}
+
 // renewIfNeeded starts a renewal of the lease if one is due and requests use the primary. The lease renewer of the group
 // renews at a replica, and the other instances take over its renewals. It also renews an unused lease until the group is
 // recorded as free. The caller holds mu.
 func (g *Group) renewIfNeeded(now citronusher.Instant) {
 	renewer, isPeer := g.set.leaseRenewer(g.name)
 	unrecorded := !isPeer && g.home && g.recordedEra != g.set.config.Store.Era().Number
-	used := g.queue.PrimaryLen() > 0 || now < g.primaryUsedAt.Add(leaseIdleTimeout) || unrecorded
+	used := g.queue.PrimaryLen() > 0 || now < g.primaryUsedAt.Add(leaseIdleTimeout) || unrecorded || g.primaryInUse()
 	due := now >= g.renewalSentAt.Add(renewInterval) && now >= g.nextRenewalAt
 	if g.renewing || g.lease.Term() == 0 || g.lease.Closed() || !used || !due {
 		return
@@ -57,6 +72,13 @@
 	}
 }
 
+// primaryInUse reports whether a request holds a connection to the primary, so that its answer will need the lease. The
+// caller holds mu.
+func (g *Group) primaryInUse() bool {
+	primary := g.members[g.primary]
+	return primary != nil && primary.inUse > 0
+}
+
 // renewFromPeer renews the lease with a renewal of the lease renewer. If that fails and the last renewal is older than
 // replicaRenewalAge, it queries the replicas.
 func (g *Group) renewFromPeer(renewer citronusher.Instance) {
@@ -68,7 +90,11 @@
 	age, err := g.set.config.Peers.LeaseRenewalAge(ctx, renewer, g.name, term)
 	cancel()
 	g.mu.Lock()
+	valid := g.lease.Valid(g.now())
 	if err == nil && g.lease.ObservePeerRenewal(term, sentAt.Add(-age)) == lease.Renewed {
+		if !valid && g.lease.Valid(g.now()) {
+			g.logBegan(&g.lease, g.primary, proofPeer, g.now())
+		}
 		g.renewalSentAt = max(g.renewalSentAt, sentAt.Add(-age))
 		g.notifyChanged()
 		g.dispatch(g.now())
--- a/targets/watch.go
+++ b/targets/watch.go
@@ -138,14 +138,14 @@
 func (g *Group) probe(m *member) {
 	c, err := g.dial(m, g.now().Add(probeTimeout))
 	if err == nil {
-		r := memberReply{sentAt: g.now()}
+		r := memberReply{id: m.report.ID, sentAt: g.now()}
 		r.status, r.err = c.link.Status(r.sentAt.Add(probeTimeout))
 		status, err := r.status, r.err
 		g.set.config.Meter.Probes().Inc(1)
 		g.mu.Lock()
 		superseded := status.Role == citronusher.RoleReplica || status.Term > g.lease.Term()
 		if err == nil && m.report.ID == g.primary && superseded {
-			g.lease.Close()
+			g.endLease("primary reported another role or term", g.now())
 		}
 		g.mu.Unlock()
 		g.returnQueried(m, c, r)
