Confirm an exchange that ends with ROLLBACK

Cause: complete() passed an answer on without confirmation when its last command tag was ROLLBACK. An exchange can hold several commands, so that the tag doesn't tell whether an earlier one committed or read. Seen by callers: a superseded primary's commit was acknowledged. Change: pg.Answer counts the command tags; only an answer that is the single tag ROLLBACK needs no confirmation.

--- a/home/work.go
+++ b/home/work.go
@@ -214,7 +214,7 @@
 	if result.Pinned = w.releaseUnlessOpen(answer, request.Exchange); result.Pinned {
 		return result, w.deliver(buffer)
 	}
-	if !replica && answer.CommandTag != "ROLLBACK" {
+	if !replica && !onlyTag(answer, "ROLLBACK") {
 		position, err := w.confirmed(ctx)
 		if err != nil {
 			return citronusher.Result{}, err
@@ -224,6 +224,11 @@
 	return result, w.deliver(buffer)
 }
 
+// onlyTag reports whether the target answered with the given command tag and nothing else.
+func onlyTag(answer pg.Answer, tag string) bool {
+	return answer.Commands == 1 && answer.CommandTag == tag && answer.ErrorCode == ""
+}
+
 // confirmed waits for the confirmation of all commits before the call, and returns the end of the primary's log.
 func (w *work) confirmed(ctx context.Context) (citronusher.Position, error) {
 	if w.database.set.config.Policy.NoConfirm {
--- a/pg/exchange.go
+++ b/pg/exchange.go
@@ -47,6 +47,8 @@
 	Message string
 	// CommandTag is the last command tag.
 	CommandTag string
+	// Commands is the number of command tags.
+	Commands int
 }
 
 // expectedAnswer is an answer that is still missing, from the target or from the connection itself.
@@ -233,6 +235,7 @@
 			setOutcome(m, citronusher.Ran)
 		case *pgproto3.CommandComplete:
 			answer.CommandTag = string(m.CommandTag)
+			answer.Commands++
 			c.checkSessionState(answer.CommandTag)
 		}
 		hidden := false
