Confirm each exchange of an open transaction

Cause: complete() passed the answer on at once while a transaction was open, explicit or, after Flush, implicit. Seen by callers: rows of a superseded primary, in transactions that began after the promotion; one that ended with ROLLBACK never learned of it. docs/DESIGN.md says that every exchange is confirmed. Evidence: superseded.txt before the change, after the promotion of m2: "a flush SELECT" gave "a: 1 rows: old; ran", "BEGIN; SELECT" gave "b: 1 rows: old; ran", a SELECT in a transaction of before "a: 1 rows: old; ran". Change: every answer but a lone BEGIN or ROLLBACK waits for a round. Without it an open transaction is rolled back by closing its connection, and the exchange is reported as not run, or as unknown when it could commit. Copies are waited for at the end only.

--- a/home/marker.go
+++ b/home/marker.go
@@ -120,7 +120,7 @@
 			return citronusher.Result{}, err
 		}
 	}
-	position, err := w.confirmed(ctx)
+	position, err := w.confirmed(ctx, w.profile.MajorityAck())
 	if err != nil {
 		return citronusher.Result{}, err
 	}
@@ -238,7 +238,7 @@
 	if _, err := w.conn.Run(ctx, exchange, buffer.write); err != nil {
 		return citronusher.Result{}, w.undetermined(err)
 	}
-	position, err := w.confirmed(ctx)
+	position, err := w.confirmed(ctx, w.profile.MajorityAck())
 	if err != nil {
 		return citronusher.Result{}, err
 	}
@@ -352,7 +352,7 @@
 	if _, answer, err := w.conn.Query(ctx, void); err != nil || answer.ErrorCode != "" {
 		return citronusher.Result{}, w.undetermined(fmt.Errorf("void marker: %s: %w", answer.Message, err))
 	}
-	if _, err := w.confirmed(ctx); err != nil {
+	if _, err := w.confirmed(ctx, w.profile.MajorityAck()); err != nil {
 		return citronusher.Result{}, err
 	}
 	return citronusher.Result{}, citronusher.NewNotRun(citronusher.ReasonRepeat,
--- a/home/superseded_test.go
+++ b/home/superseded_test.go
@@ -193,7 +193,7 @@
 	kinds := []byte{pg.StepQuery}
 	if kind != pg.StepQuery {
 		messages = []pgproto3.FrontendMessage{
-			&pgproto3.Parse{Name: "s", Query: sql}, &pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Execute{}, &pgproto3.Sync{},
+			&pgproto3.Parse{Name: sql, Query: sql}, &pgproto3.Bind{PreparedStatement: sql}, &pgproto3.Execute{}, &pgproto3.Sync{},
 		}
 		kinds = []byte{pg.StepParse, pg.StepBind, pg.StepExecute, pg.StepSync}
 	}
@@ -209,7 +209,7 @@
 		}
 		step := citronusher.Message{Kind: kinds[i], Raw: raw, Statement: pg.StatementKind(sql)}
 		if kinds[i] == pg.StepParse {
-			step.Name = "s"
+			step.Name = sql
 		}
 		e.Messages = append(e.Messages, step)
 	}
--- a/home/work.go
+++ b/home/work.go
@@ -205,36 +205,52 @@
 	return w.complete(ctx, request, answer, buffer)
 }
 
-// complete confirms the commit if the exchange ended the transaction, and passes the answer on.
+// complete confirms the exchange and passes the answer on. The position advances only when the transaction has ended.
 func (w *work) complete(
 	ctx context.Context, request citronusher.Request, answer pg.Answer, buffer *answerBuffer,
 ) (citronusher.Result, error) {
 	result := citronusher.Result{Status: answer.Status, Replica: w.replica, Failed: answer.ErrorCode}
 	replica := w.replica
-	if result.Pinned = w.releaseUnlessOpen(answer, request.Exchange); result.Pinned {
+	result.Pinned = w.releaseUnlessOpen(answer, request.Exchange)
+	if replica || onlyTag(answer, "BEGIN") || onlyTag(answer, "ROLLBACK") {
 		return result, w.deliver(buffer)
 	}
-	if !replica && !onlyTag(answer, "ROLLBACK") {
-		position, err := w.confirmed(ctx)
-		if err != nil {
-			return citronusher.Result{}, err
-		}
+	position, err := w.confirmed(ctx, w.profile.MajorityAck() && !result.Pinned)
+	switch {
+	case err != nil && result.Pinned:
+		return citronusher.Result{}, w.rollBackUnconfirmed(request, err)
+	case err != nil:
+		return citronusher.Result{}, err
+	case !result.Pinned:
 		result.Position = position
 	}
 	return result, w.deliver(buffer)
 }
 
+// rollBackUnconfirmed rolls back the open transaction, whose last answer was not confirmed because of err, by closing its
+// connection. It returns the failure of the exchange.
+func (w *work) rollBackUnconfirmed(request citronusher.Request, err error) error {
+	_ = w.conn.Close()
+	w.release()
+	if pg.MayCommit(request.Exchange) {
+		return err
+	}
+	return citronusher.NewNotRun(citronusher.ReasonConfirm,
+		"the primary's term was not confirmed after the exchange; the transaction is rolled back")
+}
+
 // onlyTag reports whether the target answered with the given command tag and nothing else.
 func onlyTag(answer pg.Answer, tag string) bool {
 	return answer.Commands == 1 && answer.CommandTag == tag && answer.ErrorCode == ""
 }
 
-// confirmed waits for the confirmation of all commits before the call, and returns the end of the primary's log.
-func (w *work) confirmed(ctx context.Context) (citronusher.Position, error) {
+// confirmed waits for the confirmation of all that ran before the call, and returns the end of the primary's log. With
+// copies, a majority has that log.
+func (w *work) confirmed(ctx context.Context, copies bool) (citronusher.Position, error) {
 	if w.database.set.config.Policy.NoConfirm {
 		return citronusher.Position{}, nil
 	}
-	position, err := w.database.confirm.confirm(ctx, w.term, w.profile.MajorityAck())
+	position, err := w.database.confirm.confirm(ctx, w.term, copies)
 	if err != nil {
 		return position, w.database.confirmFailure(err)
 	}
