Confirm a long answer before its first rows are passed on

Cause: answerBuffer passed on what exceeded 64 KB while the statement ran; the confirmation came at the end. Seen by callers: thousands of rows of a superseded primary, followed by an error. Change: before the buffer passes anything on, the term is confirmed, or for a read on a replica its position; once for each statement, since a statement reads the log as of its first row.

--- a/home/work.go
+++ b/home/work.go
@@ -64,6 +64,7 @@
 	if !ok {
 		return result, false, nil
 	}
+	buffer.check = func() error { return w.recheck(request, t) }
 	answer, err := w.runOn(ctx, t, request, buffer)
 	if err != nil {
 		failure := citronusher.AsFailure(err)
@@ -170,6 +171,7 @@
 	}
 	d.set.config.Meter.PrimaryRequests().Inc(1)
 	w.term = current
+	buffer.check = w.streamCheck(ctx)
 	if w.marked(request) {
 		return w.runMarked(ctx, t, request, buffer)
 	}
@@ -189,6 +191,7 @@
 func (w *work) runInTransaction(
 	ctx context.Context, request citronusher.Request, buffer *answerBuffer,
 ) (citronusher.Result, error) {
+	buffer.check = w.streamCheck(ctx)
 	if w.marked(request) && w.conn.Status() == pg.StatusActive && pg.MayCommit(request.Exchange) {
 		if result, done, err := w.markCommit(ctx, request, buffer); done {
 			return result, err
@@ -257,6 +260,18 @@
 	return position, nil
 }
 
+// streamCheck returns the check of an answer that is passed on before its end: a confirmation on the primary, and nothing
+// in a transaction on a replica.
+func (w *work) streamCheck(ctx context.Context) func() error {
+	return func() error {
+		if w.replica {
+			return nil
+		}
+		_, err := w.confirmed(ctx, false)
+		return err
+	}
+}
+
 // deliver passes the buffered answer to the caller.
 func (w *work) deliver(buffer *answerBuffer) error {
 	if err := buffer.flush(); err != nil {
