Confirm a non-repeatable request that ends in an error

Cause: tryMarked rolled back and passed on what the request had read, and the error, without confirmation. Seen by callers: rows and a unique violation of a superseded primary. Change: failedMarked confirms before it passes anything on; otherwise the request is not run, since it was rolled back.

--- a/home/marker.go
+++ b/home/marker.go
@@ -112,8 +112,7 @@
 	}
 	// If the exchange contained a COMMIT, the transaction has ended and the marker was committed with it.
 	if answer.ErrorCode != "" && answer.Status != pg.StatusIdle {
-		_, _, _ = w.conn.Query(ctx, "ROLLBACK")
-		return citronusher.Result{Status: pg.StatusIdle, Failed: answer.ErrorCode}, w.deliver(buffer)
+		return w.failedMarked(ctx, request, answer, buffer)
 	}
 	if answer.Status == pg.StatusActive {
 		if err := w.commitMarker(ctx, request.ID, answer.CommandTag); err != nil {
@@ -128,6 +127,18 @@
 	return citronusher.Result{Status: pg.StatusIdle, Position: position, Failed: answer.ErrorCode}, w.deliver(buffer)
 }
 
+// failedMarked rolls back a marked request that ended in the target's error, and passes on what it read before and the
+// error once both are confirmed.
+func (w *work) failedMarked(
+	ctx context.Context, request citronusher.Request, answer pg.Answer, buffer *answerBuffer,
+) (citronusher.Result, error) {
+	_, _, _ = w.conn.Query(ctx, "ROLLBACK")
+	if _, err := w.confirmed(ctx, false); err != nil {
+		return citronusher.Result{}, w.rollBackUnconfirmed(request, err)
+	}
+	return citronusher.Result{Status: pg.StatusIdle, Failed: answer.ErrorCode}, w.deliver(buffer)
+}
+
 // commitMarker records the command tag in the marker and commits the transaction.
 func (w *work) commitMarker(ctx context.Context, id, tag string) error {
 	update := fmt.Sprintf("UPDATE citronusher_marker SET tag = %s WHERE id = %s; COMMIT", quote(tag), quote(id))
