Count only logs that hold the primary's records for the majority acknowledgement

Cause: HeldByMajority compared offsets alone. A former primary that accepted the new term, but has not yet removed the records that only it has, counted as a holder of the new primary's records at these offsets. Seen by callers: none reported. A write with the majority acknowledgement could be acknowledged while one member had it, and be lost with that member. Evidence: confirm.txt before the change, m1 at 98, m2 at term 4 with 100 records of term 3, m3 at 95: "confirmed at 4/98, copied true". Change: a log counts if its last record is of the current term, or of the term with which the primary's log ended. Result: copied false; go test -race ./term ./home passes.

--- a/home/confirm.go
+++ b/home/confirm.go
@@ -59,7 +59,7 @@
 // errSuperseded.
 func (c *confirmer) confirm(ctx context.Context, wanted uint64, copies bool) (citronusher.Position, error) {
 	c.database.set.config.Meter.ConfirmedRequests().Inc(1)
-	var logEnd citronusher.Position
+	var first *confirmationBatch // the first round that confirmed the term
 	for failures := 0; failures < maxFailedRounds; {
 		b, err := c.join(ctx)
 		if err != nil {
@@ -72,11 +72,11 @@
 			failures++
 			continue
 		}
-		if logEnd.IsZero() {
-			logEnd = b.position
+		if first == nil {
+			first = b
 		}
-		if !copies || b.round.HeldByMajority(logEnd) {
-			return logEnd, nil
+		if !copies || b.round.HeldByMajority(first.round.LogEnd()) {
+			return first.position, nil
 		}
 		select {
 		case <-time.After(replicationInterval):
--- a/term/confirm.go
+++ b/term/confirm.go
@@ -24,7 +24,8 @@
 	other       int
 	primarySame bool // the primary responded as primary of term
 	position    citronusher.Position
-	offsets     []uint64
+	logEnd      citronusher.Position   // of the primary: term and offset of its last record
+	logs        []citronusher.Position // ends of the logs of the members at the term
 }
 
 // NewRound returns a round that confirms term of primary in a group of members.
@@ -42,10 +43,11 @@
 		return
 	}
 	r.same++
-	r.offsets = append(r.offsets, state.Position().Offset())
+	r.logs = append(r.logs, state.Position())
 	if name == r.primary {
 		r.primarySame = true
 		r.position = citronusher.NewPosition(r.term, state.Position().Offset())
+		r.logEnd = state.Position()
 	}
 }
 
@@ -73,11 +75,17 @@
 // Position returns the end of the primary's log, which lies at or past every commit that the round covers.
 func (r *Round) Position() citronusher.Position { return r.position }
 
-// HeldByMajority reports whether a majority of the members holds the log up to position.
-func (r *Round) HeldByMajority(position citronusher.Position) bool {
+// LogEnd returns the term and the offset of the last record of the primary's log.
+func (r *Round) LogEnd() citronusher.Position { return r.logEnd }
+
+// HeldByMajority reports whether a majority of the members holds the primary's log up to end, a LogEnd of this round or an
+// earlier one of the same term. A log counts only if its last record is of the primary's term or of the same term as end:
+// another one may have records that the primary lacks in place of the primary's.
+func (r *Round) HeldByMajority(end citronusher.Position) bool {
 	count := 0
-	for _, offset := range r.offsets {
-		if offset >= position.Offset() {
+	for _, log := range r.logs {
+		sameLog := log.Term() == r.term || log.Term() == end.Term()
+		if sameLog && log.Offset() >= end.Offset() {
 			count++
 		}
 	}
--- a/term/term_test.go
+++ b/term/term_test.go
@@ -90,16 +90,20 @@
 				r.AddMissing(fields[0])
 				continue
 			}
-			var answered, offset uint64
+			var answered, offset, logTerm uint64 // the log's last term is the member's, unless it is given
 			_, _ = fmt.Sscan(fields[2], &answered)
 			_, _ = fmt.Sscan(fields[3], &offset)
+			logTerm = answered
+			if len(fields) > 4 {
+				_, _ = fmt.Sscan(fields[4], &logTerm)
+			}
 			r.AddAnswer(fields[0], citronusher.NewMemberState(citronusher.Role(fields[1]), answered,
-				citronusher.NewPosition(answered, offset), nil, start))
+				citronusher.NewPosition(logTerm, offset), nil, start))
 		}
 		verdicts := map[term.Verdict]string{
 			term.Pending: "pending", term.Confirmed: "confirmed", term.Superseded: "superseded",
 		}
-		return fmt.Sprintf("%s at %s, copied %t\n", verdicts[r.Verdict()], r.Position(), r.HeldByMajority(r.Position()))
+		return fmt.Sprintf("%s at %s, copied %t\n", verdicts[r.Verdict()], r.Position(), r.HeldByMajority(r.LogEnd()))
 	})
 }
 
