Give a member that is ahead of the primary's term a term that it can follow

Cause: a member that performs an abandoned fence late accepts a term above the primary's. It refuses to follow a lower term, and Monitor.Decide commanded only members at or below the primary's term. Seen by callers: nothing at first; the group runs with one member less, until the next promotion. Evidence: monitor.txt before the change, m3 at term 4 and m1 the primary of term 3: "1000: nothing". Change: when a member has been ahead for Unresponsive, an available primary is replaced by a planned promotion to a term above all; it is the candidate itself if no other has its whole log. Result: "1000: planned promotion to term 5"; go test -race ./term passes.

--- a/term/monitor.go
+++ b/term/monitor.go
@@ -61,6 +61,7 @@
 	busyAt            time.Time // when the member last rejected a connection because it had no free one
 	followRequestedAt time.Time
 	leavingAt         time.Time // when the home was notified that the member is leaving; zero when it is not
+	aheadAt           time.Time // when the member was first seen at a newer term than the primary's; zero when it is not
 }
 
 func (o *observation) reachable() bool { return o.known && o.failures == 0 }
@@ -185,7 +186,7 @@
 // Decide returns what to do at now.
 func (m *Monitor) Decide(now time.Time) Action {
 	primary, term, ok := m.Primary()
-	if ok && m.shouldMove(primary, now) {
+	if ok && (m.shouldMove(primary, now) || m.isStuckAhead(primary, term, now)) {
 		return Action{Promote: m.newest() + 1, Planned: true, Primary: primary, Term: term}
 	}
 	if ok && !m.unavailable(primary, now) {
@@ -229,6 +230,23 @@
 	return false
 }
 
+// isStuckAhead reports whether a member has been at a newer term than an available primary's for Unresponsive. It can't
+// follow the primary, so that the primary has to be promoted to a term above.
+func (m *Monitor) isStuckAhead(primary string, term uint64, now time.Time) bool {
+	stuck := false
+	for _, o := range m.members {
+		switch {
+		case !o.reachable() || o.state.Term() <= term:
+			o.aheadAt = time.Time{}
+		case o.aheadAt.IsZero():
+			o.aheadAt = now
+		default:
+			stuck = stuck || !now.Before(o.aheadAt.Add(m.timeouts.Unresponsive+m.rankDelay()))
+		}
+	}
+	return stuck && m.members[primary].reachable() && !now.Before(m.deferDeadline)
+}
+
 // unavailable reports whether the primary has been unresponsive long enough for this home to act.
 func (m *Monitor) unavailable(primary string, now time.Time) bool {
 	o := m.members[primary]
