Stand-in: frozen members, planned promotions, replaced members, and a record of runs

Cause: a member that was "unresponsive" ran statements at once and only kept its answers back, each promotion took the same time, and nothing recorded on which log a read ran. So no test could bring a late statement or a late promotion about, and the soak compared values instead of logs.

A frozen member (Member.SetFrozen) keeps what is sent to it, also from callers that have gone, and performs it when it goes on; meanwhile it replicates and reports nothing, and its own promotion waits. PromotionPlan holds, delays, refuses, cuts or does not answer a request. Member.Replace starts another member at its address with its log. Options.Record keeps each run's log (Group.Run), and History says which commits promotions have rolled back. Store.View shows translated rows at an address of its own, so that each daemon can have links of its own.

--- a/gateway/action_test.go
+++ b/gateway/action_test.go
@@ -90,7 +90,7 @@
 	case "hear":
 		s.member(fields[1]).StopReceiving(false)
 	case "leave":
-		s.member(fields[1]).Drain()
+		s.member(fields[1]).Drain(true)
 	case "hold":
 		s.member(fields[1]).PauseReplication(uint64(s.number(fields[2]))) //nolint:gosec // small
 	case "lose-answer":
--- a/standin/users/group.go
+++ b/standin/users/group.go
@@ -10,14 +10,14 @@
 
 const (
 	replicateInterval = 2 * time.Millisecond
-	stepDownDelay     = 1 * time.Second // after which a superseded primary replicates from the new one, unless partitioned
+	stepDownDelay     = 1 * time.Second // for which a superseded primary reaches the new one before it follows it
 	reportInterval    = 200 * time.Millisecond
 )
 
 // entry is one write in a group's log; the writes of a commit share its number.
 type entry struct {
-	term, number uint64
-	item, data   string
+	term, number   uint64
+	item, data, id string // id is that of the statement that committed the write
 }
 
 func (e entry) position() string { return fmt.Sprintf("%d.%d", e.term, e.number) }
@@ -29,6 +29,8 @@
 	// Lag is the replication lag, Promotion the delay before a promotion takes effect, StatementDuration the duration of a
 	// statement.
 	Lag, Promotion, StatementDuration time.Duration
+	// Record keeps every run of a statement, for Group.Run.
+	Record bool
 }
 
 // Platform is a store together with the database groups whose members write their reports to it.
@@ -80,7 +82,7 @@
 	for _, g := range p.groups {
 		g.mu.Lock()
 		for _, m := range g.members {
-			if m.crashed {
+			if m.crashed || m.frozen != nil {
 				continue
 			}
 			state := "ready"
@@ -164,14 +166,20 @@
 
 	mu                  sync.Mutex
 	members             []*Member
-	externalConnections int             // connections of each member that other clients use
-	commitCounts        map[string]int  // number of commits per statement id
-	superseded          map[string]bool // ids of statements that a member committed while another was primary of a later term
+	externalConnections int               // connections of each member that other clients use
+	commitCounts        map[string]int    // number of commits per statement id
+	superseded          map[string]bool   // ids of statements that a member committed while another was primary of a later term
+	commits             map[string]Commit // by statement id, the newest one
+	promotions          []Promotion
+	pending             int            // promotions that have not taken effect yet
+	runs                map[string]Run // by signature
+	signatures          uint64         // given out so far
 }
 
 // AddGroup starts a group of count members; the first is the primary.
 func (p *Platform) AddGroup(name string, count int) (*Group, error) {
 	g := &Group{platform: p, name: name, commitCounts: map[string]int{}, superseded: map[string]bool{}}
+	g.commits, g.runs = map[string]Commit{}, map[string]Run{}
 	for i := range count {
 		m, err := newMember(g, fmt.Sprintf("i-%s-%d", name, i+1))
 		if err != nil {
@@ -283,44 +291,54 @@
 // The caller must hold g.mu.
 func (g *Group) replicateOnce(now time.Time) {
 	primary := g.primary()
-	if primary == nil || primary.crashed {
+	if primary == nil || primary.crashed || primary.frozen != nil {
 		return
 	}
 	for _, m := range g.members {
-		if m == primary || m.crashed || m.pausedTerm > m.term || m.notReceiving {
+		if m == primary || m.term > primary.term || !m.reaches(primary, now) || m.pausedTerm > m.term || m.notReceiving {
 			continue
 		}
 		if m.role == rolePrimary && m.term < primary.term {
-			if now.Sub(primary.primarySince) < stepDownDelay || m.partitioned {
+			if now.Sub(m.reachesSince) < stepDownDelay {
 				continue
 			}
 			m.role = roleReplica
 		}
-		if m.role == roleReplica && !m.partitioned {
+		if m.role == roleReplica {
 			m.replicateFrom(primary, now.Add(-g.platform.options.Lag))
 		}
 	}
 }
 
+// reaches reports whether a member can reach the primary, and keeps since when.
+func (m *Member) reaches(primary *Member, now time.Time) bool {
+	if m.crashed || m.frozen != nil || m.partitioned || primary.partitioned {
+		m.reachesSince = time.Time{}
+		return false
+	}
+	if m.reachesSince.IsZero() || m.reachesSince.Before(primary.primarySince) {
+		m.reachesSince = now
+	}
+	return true
+}
+
 // replicateFrom replaces a replica's log from the first difference on by the primary's commits up to a time.
 func (m *Member) replicateFrom(primary *Member, until time.Time) {
 	m.term = primary.term
 	if m.pausedTerm <= m.term {
 		m.pausedTerm = 0
 	}
-	shared := 0
-	for shared < len(m.log) && shared < len(primary.log) && m.log[shared] == primary.log[shared] {
-		shared++
-	}
-	m.log = m.log[:shared]
+	shared := sharedLength(m.log, primary.log)
+	m.log = m.log[:shared:shared] // runs that were recorded keep the log that they saw
 	for shared < len(primary.log) && !primary.times[shared].After(until) {
 		m.log = append(m.log, primary.log[shared])
 		shared++
 	}
 }
 
-// promoteMember handles a promotion request and returns its HTTP status. The promotion takes effect after a delay.
-func (p *Platform) promoteMember(group, id string) int {
+// promoteMember handles a promotion request and returns its HTTP status. The promotion takes effect after a delay; 0 is the
+// usual one.
+func (p *Platform) promoteMember(group, id string, delay time.Duration) int {
 	p.mu.Lock()
 	g := p.groups[group]
 	p.mu.Unlock()
@@ -337,18 +355,37 @@
 			return http.StatusConflict
 		}
 		if m.role != rolePrimary {
-			p.tasks.Go(func() { g.promote(m) })
+			g.pending++
+			p.tasks.Go(func() { g.promote(m, delay) })
 		}
 		return http.StatusOK
 	}
 	return http.StatusNotFound
 }
 
-// promote makes a member the primary of the next term after the promotion delay.
-func (g *Group) promote(m *Member) {
-	time.Sleep(g.platform.options.Promotion)
-	g.mu.Lock()
+// PendingPromotions returns how many promotions were requested that have not taken effect yet.
+func (p *Platform) PendingPromotions() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for _, g := range p.groups {
+		g.mu.Lock()
+		count += g.pending
+		g.mu.Unlock()
+	}
+	return count
+}
+
+// promote makes a member the primary of the next term after a delay, and not before the member runs.
+func (g *Group) promote(m *Member, delay time.Duration) {
+	requestedAt := time.Now()
+	if delay == 0 {
+		delay = g.platform.options.Promotion
+	}
+	time.Sleep(delay)
+	m.lockRunning()
 	defer g.mu.Unlock()
+	g.pending--
 	highest := uint64(0)
 	for _, other := range g.members {
 		highest = max(highest, other.term)
@@ -356,6 +393,7 @@
 	}
 	m.role, m.term, m.primarySince = rolePrimary, highest+1, time.Now()
 	m.times = make([]time.Time, len(m.log))
+	g.promotions = append(g.promotions, Promotion{Member: m.id, Term: m.term, RequestedAt: requestedAt, At: m.primarySince})
 }
 
 // close stops the group's members.
--- a/standin/users/group_test.go
+++ b/standin/users/group_test.go
@@ -32,7 +32,8 @@
 		t.Error("the commit is not held before the promotion")
 	}
 	first.Crash()
-	g.promote(second)
+	g.pending++
+	g.promote(second, 0)
 	write(second, "3")
 	if !g.Holds("x", "1") || g.Holds("x", "2") || !g.Holds("x", "3") {
 		t.Errorf("held: 1 %t, 2 %t, 3 %t", g.Holds("x", "1"), g.Holds("x", "2"), g.Holds("x", "3"))
--- a/standin/users/member.go
+++ b/standin/users/member.go
@@ -28,19 +28,21 @@
 	log          []entry
 	times        []time.Time // commit times of the log's entries; zero for entries from before the last promotion
 	primarySince time.Time
+	reachesSince time.Time // since when it can reach the primary; zero while it cannot
 	conns        map[net.Conn]struct{}
 
 	crashed        bool
-	unresponsive   bool // sends no answers
-	notReceiving   bool // receives no commits from the primary
-	partitioned    bool // cut off from the other members
-	draining       bool // reports that it accepts no new work
-	loseNextAnswer bool // the next answer to a write or commit is lost
-	breakNextConn  bool // the next statement with a slot closes its connection and does not run
-	busyStatements int  // number of next statements that are rejected as busy
-	failStatements int  // number of next statements that fail
-	pauses         int  // PAUSE commands received
-	rejectsPause   bool // PAUSE commands are rejected
+	unresponsive   bool          // sends no answers
+	frozen         chan struct{} // closed when the member goes on; nil while it runs
+	notReceiving   bool          // receives no commits from the primary
+	partitioned    bool          // cut off from the other members
+	draining       bool          // reports that it accepts no new work
+	loseNextAnswer bool          // the next answer to a write or commit is lost
+	breakNextConn  bool          // the next statement with a slot closes its connection and does not run
+	busyStatements int           // number of next statements that are rejected as busy
+	failStatements int           // number of next statements that fail
+	pauses         int           // PAUSE commands received
+	rejectsPause   bool          // PAUSE commands are rejected
 }
 
 func newMember(g *Group, id string) (*Member, error) {
@@ -64,6 +66,9 @@
 // ID returns the member's id.
 func (m *Member) ID() string { return m.id }
 
+// Address returns the member's IP:PORT.
+func (m *Member) Address() string { return m.address }
+
 // withLock calls change with the group's mutex held.
 func (m *Member) withLock(change func()) {
 	m.group.mu.Lock()
@@ -73,15 +78,18 @@
 
 // Crash closes the member's listener and connections. Its log is kept.
 func (m *Member) Crash() {
-	m.withLock(func() { m.crashed = true })
+	m.withLock(func() {
+		m.crashed = true
+		m.thaw()
+	})
 	m.stop()
 }
 
-// Restart starts a crashed member again with its log. Replication is no longer paused.
+// Restart starts a crashed member again under its ID with its log. Replication is no longer paused.
 func (m *Member) Restart() error {
 	m.group.mu.Lock()
 	defer m.group.mu.Unlock()
-	m.crashed, m.pausedTerm = false, 0
+	m.crashed, m.pausedTerm, m.born = false, 0, time.Now().UnixMilli()
 	return m.listen(m.address)
 }
 
@@ -98,8 +106,16 @@
 	m.withLock(func() { m.notReceiving = notReceiving })
 }
 
-// Drain makes the member report that it is draining.
-func (m *Member) Drain() { m.withLock(func() { m.draining = true }) }
+// Drain sets whether the member reports that it is draining.
+func (m *Member) Drain(draining bool) { m.withLock(func() { m.draining = draining }) }
+
+// Replace ends a member that drains and starts another one in its place: with another ID, and with its address and log.
+func (m *Member) Replace(id string) error {
+	m.Crash()
+	m.group.platform.Remove(tableMembers, m.id)
+	m.withLock(func() { m.id, m.role, m.draining = id, roleReplica, false })
+	return m.Restart()
+}
 
 // PauseReplication pauses replication under a term, as an earlier promotion attempt would.
 func (m *Member) PauseReplication(term uint64) {
@@ -142,6 +158,7 @@
 	m.listener.Close()
 	for conn := range m.conns {
 		conn.Close()
+		delete(m.conns, conn) // statements that are still to run do nothing
 	}
 }
 
@@ -205,11 +222,12 @@
 		m.times = append(m.times, time.Time{})
 	}
 	for _, w := range writes {
-		w.term, w.number = m.term, number
+		w.term, w.number, w.id = m.term, number, id
 		m.log = append(m.log, w)
 		m.times = append(m.times, time.Now())
 	}
 	m.group.commitCounts[id]++
+	m.group.commits[id] = Commit{ID: id, Member: m.id, Term: m.term, Number: number, At: time.Now()}
 	for _, other := range m.group.members {
 		if other.role == rolePrimary && other.term > m.term {
 			m.group.superseded[id] = true
--- a/standin/users/session.go
+++ b/standin/users/session.go
@@ -43,6 +43,7 @@
 			return
 		}
 		answer, lost := s.statement(fields[1], fields[2])
+		s.member.awaitThaw()
 		if s.unresponsive() {
 			continue
 		}
@@ -70,7 +71,7 @@
 	}
 	fields := strings.Fields(line)
 	m := s.member
-	m.group.mu.Lock()
+	m.lockRunning()
 	answer := "READY I " + m.lastPosition()
 	switch {
 	case len(fields) < 3 || fields[0] != "STARTUP":
@@ -106,8 +107,11 @@
 		}
 		defer func() { <-m.slots }()
 	}
-	m.group.mu.Lock()
+	m.lockRunning()
 	defer m.group.mu.Unlock()
+	if _, open := m.conns[s.conn]; m.crashed || !open {
+		return "", true
+	}
 	if slotted && m.breakNextConn {
 		m.breakNextConn = false
 		return "", true
@@ -142,7 +146,7 @@
 
 // completeAnswer returns the answer to a successful statement.
 func (s *memberSession) completeAnswer(rows string) string {
-	signature := fmt.Sprintf("%s.%d.%s", s.member.id, s.member.term, s.member.lastPosition())
+	signature := s.member.record(rows)
 	return rows + "COMPLETE " + signature + "\r\n" + s.readyLine()
 }
 
--- a/standin/users/store.go
+++ b/standin/users/store.go
@@ -46,6 +46,7 @@
 // Store simulates the metadata store and the promotion call on one HTTP address.
 type Store struct {
 	server    *httptest.Server
+	handler   http.Handler
 	startedAt time.Time
 
 	mu              sync.Mutex
@@ -61,8 +62,10 @@
 	feedsStalled    bool          // feed requests that start now return no changes
 	deletionDelay   time.Duration // after which calls that delete rows are performed, without an answer; 0 for at once
 	requests        []PromotionRequest
-	loseRequests    bool // promotion requests are carried out, but not answered
-	promote         func(group, member string) int
+	loseRequests    bool                 // promotion requests are carried out, but not answered
+	planPromotion   func() PromotionPlan // nil for the usual one
+	promote         func(group, member string, delay time.Duration) int
+	views           []*httptest.Server
 }
 
 // NewStore starts a store without rows.
@@ -74,7 +77,8 @@
 	mux.HandleFunc("POST /rows-tx", s.serveTx)
 	mux.HandleFunc("GET /rows-feed", s.serveFeed)
 	mux.HandleFunc("POST /promote", s.servePromotion)
-	s.server = httptest.NewServer(s.withFaults(mux))
+	s.handler = s.withFaults(mux)
+	s.server = httptest.NewServer(s.handler)
 	return s
 }
 
@@ -83,8 +87,10 @@
 
 // Close closes the client connections and stops the server.
 func (s *Store) Close() {
-	s.server.CloseClientConnections()
-	s.server.Close()
+	for _, server := range append(s.views, s.server) {
+		server.CloseClientConnections()
+		server.Close()
+	}
 }
 
 // Fail makes every call but /promote return an HTTP status; 0 restores normal operation.
@@ -164,6 +170,15 @@
 	s.notifyFeeds()
 }
 
+// Remove deletes a row.
+func (s *Store) Remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.set(row{Table: table, Key: key, Version: s.version, Deleted: true})
+	s.notifyFeeds()
+}
+
 // notifyFeeds wakes the waiting feed requests. The caller must hold s.mu.
 func (s *Store) notifyFeeds() {
 	close(s.changed)
@@ -183,6 +198,9 @@
 	s.writeEra(w)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
+	if v, ok := w.(viewWriter); ok {
+		rows = v.translateRows(rows)
+	}
 	body := page{Rows: rows, Version: s.version, Millis: time.Since(s.startedAt).Milliseconds()}
 	if err := json.NewEncoder(w).Encode(body); err != nil {
 		return // the client closed the connection
@@ -351,10 +369,17 @@
 	s.requests = append(s.requests, PromotionRequest{
 		Holder: r.Header.Get("Lease-Holder"), Group: body.Service, Member: body.ID, Token: token,
 	})
-	promote, lose := s.promote, s.loseRequests
+	promote, lose, plan := s.promote, s.loseRequests, s.nextPromotion()
 	s.mu.Unlock()
-	status := promote(body.Service, body.ID)
-	if lose {
+	if plan.Cut {
+		panic(http.ErrAbortHandler) // closes the connection without a response
+	}
+	time.Sleep(plan.Held)
+	status := plan.Status
+	if status == 0 {
+		status = promote(body.Service, body.ID, plan.Delay)
+	}
+	if lose || plan.Lost {
 		panic(http.ErrAbortHandler) // closes the connection without a response
 	}
 	w.WriteHeader(status)
