--- a/soak/fault.go
+++ b/soak/fault.go
@@ -39,6 +39,7 @@
 	KindFreezeReplica Kind = "chill"  // a replica is frozen
 	KindLeave         Kind = "leave"  // the primary drains and is replaced by another member with its log
 	KindLate          Kind = "late"   // promotions take effect after random times, or are handled late
+	KindHeld          Kind = "held"   // the platform is slow to handle promotion requests
 	KindDeny          Kind = "deny"   // promotions are refused, cut or not answered
 	KindPeerSilent    Kind = "hush"   // links to a daemon deliver nothing
 	KindPeerRefuse    Kind = "refuse" // links to a daemon refuse connections
@@ -46,9 +47,13 @@
 	KindMemberSilent  Kind = "part"   // links of some daemons to the primary deliver nothing
 	KindMemberRefuse  Kind = "bar"    // links of some daemons to the primary refuse connections
 	KindMemberDelay   Kind = "lag"    // links of some daemons to the primary delay
+	KindReplicaSilent Kind = "numb"   // links of some daemons to the replicas deliver nothing
+	KindReplicaDelay  Kind = "drawl"  // links of some daemons to the replicas delay
 	KindStoreSilent   Kind = "core"   // links of some daemons to the platform deliver nothing
 	KindStoreRefuse   Kind = "shut"   // links of some daemons to the platform refuse connections
 	KindStoreDelay    Kind = "drag"   // links of some daemons to the platform delay
+	KindMute          Kind = "mute"   // as KindSplit, but the connections between daemons deliver nothing
+	KindSwap          Kind = "swap"   // some daemons do not reach the primary, and another one is killed and started at once
 	KindSplit         Kind = "split"  // some daemons do not reach the primary, and the others refuse their connections
 )
 
@@ -58,7 +63,7 @@
 	KindRoute,
 	KindRoll, KindDoze, KindFreeze, KindFreezeReplica, KindLeave, KindLate, KindDeny, KindPeerSilent, KindPeerRefuse,
 	KindPeerDelay, KindMemberSilent, KindMemberRefuse, KindMemberDelay, KindStoreSilent, KindStoreRefuse, KindStoreDelay,
-	KindSplit,
+	KindSplit, KindMute, KindSwap, KindHeld, KindReplicaSilent, KindReplicaDelay,
 }
 
 // Kinds returns all kinds of faults.
@@ -85,8 +90,8 @@
 	Daemons    uint
 }
 
-// DrawFaults returns random faults of the given kinds whose start times lie within span and at most gap apart, for a run with
-// the given number of daemons and groups. Faults may overlap.
+// DrawFaults returns random faults of the given kinds whose start times lie within span and at most gap apart, for a run
+// with the given number of daemons and groups. Faults may overlap.
 func DrawFaults(
 	random *rand.Rand, span, gap time.Duration, daemons, groups int, kinds []Kind,
 ) []Fault {
@@ -146,7 +151,7 @@
 		return "roll"
 	case KindStore, KindThrottle, KindFeedSilent, KindRestore:
 		return "store"
-	case KindLostPromotion, KindLate, KindDeny:
+	case KindLostPromotion, KindLate, KindHeld, KindDeny:
 		return "promotion"
 	case KindRoute:
 		return "route"
@@ -160,13 +165,12 @@
 // injectFault starts a fault, waits for its duration and ends it.
 func (r *run) injectFault(f Fault) error {
 	if how, ok := linkFaults[f.Kind]; ok {
-		r.impairLinks(f, how)
-		return nil
+		return r.impairLinks(f, how)
 	}
 	switch f.Kind {
 	case KindKill, KindStop, KindPause, KindRoll, KindDoze:
 		return r.injectDaemonFault(f)
-	case KindStore, KindThrottle, KindFeedSilent, KindRestore, KindRoute, KindLostPromotion, KindLate, KindDeny:
+	case KindStore, KindThrottle, KindFeedSilent, KindRestore, KindRoute, KindLostPromotion, KindLate, KindHeld, KindDeny:
 		r.injectPlatformFault(f)
 		return nil
 	default:
--- a/soak/fault_platform.go
+++ b/soak/fault_platform.go
@@ -12,6 +12,8 @@
 // promotionPlanTimes is how many times as long as other faults those last that wait for promotions.
 const promotionPlanTimes = 4
 
+const maxHeldTime = 2 * time.Second // for which a slow platform does not handle a promotion request
+
 // injectPlatformFault injects a fault into the store, the configuration or the promotion call.
 func (r *run) injectPlatformFault(f Fault) {
 	switch f.Kind {
@@ -32,6 +34,8 @@
 		during(f, r.platform.LosePromotionAnswers)
 	case KindLate:
 		r.planPromotions(f, latePlan)
+	case KindHeld:
+		r.planPromotions(f, heldPlan)
 	case KindDeny:
 		r.planPromotions(f, deniedPlan)
 	case KindRoute:
@@ -53,6 +57,11 @@
 	r.platform.PlanPromotions(nil)
 }
 
+// heldPlan carries a request out some time after its arrival.
+func heldPlan(random *rand.Rand) users.PromotionPlan {
+	return users.PromotionPlan{Held: time.Duration(random.Int64N(int64(maxHeldTime)))}
+}
+
 // latePlan carries a request out after a random time, for which it lies at the platform or which its effect takes.
 func latePlan(random *rand.Rand) users.PromotionPlan {
 	delays := []time.Duration{50 * time.Millisecond, 300 * time.Millisecond, time.Second, 3500 * time.Millisecond}
@@ -63,8 +72,11 @@
 // deniedPlan refuses a request, cuts its connection, or carries it out without an answer.
 func deniedPlan(random *rand.Rand) users.PromotionPlan {
 	plans := []users.PromotionPlan{
-		{Status: http.StatusConflict}, {Status: http.StatusTooManyRequests}, {Status: http.StatusServiceUnavailable},
-		{Cut: true}, {Lost: true},
+		{Status: http.StatusConflict},
+		{Status: http.StatusTooManyRequests},
+		{Status: http.StatusServiceUnavailable},
+		{Cut: true},
+		{Lost: true},
 	}
 	return plans[random.IntN(len(plans))]
 }
--- a/soak/size.go
+++ b/soak/size.go
@@ -77,7 +77,10 @@
 		faultGap: 900 * time.Millisecond, kinds: kinds[:classicKinds],
 		routes: []route{
 			{name: "fresh", consistency: consistencyPrimary, share: 50, writes: 44, transactions: 14},
-			{name: "own", consistency: consistencyOwn, share: 50, writes: 44, transactions: 14, maxStaleness: 2500 * time.Millisecond},
+			{
+				name: "own", consistency: consistencyOwn, share: 50, writes: 44, transactions: 14,
+				maxStaleness: 2500 * time.Millisecond,
+			},
 		},
 	}
 }
--- a/standin/users/freeze_test.go
+++ b/standin/users/freeze_test.go
@@ -9,10 +9,9 @@
 
 const frozenTime = 50 * time.Millisecond
 
-func startGroup(t *testing.T, options Options) (*Platform, *Group) {
+func startGroup(t *testing.T) (*Platform, *Group) {
 	t.Helper()
-	options.Slots, options.Connections, options.Record = 2, 8, true
-	p := New(options)
+	p := New(Options{Slots: 2, Connections: 8, Record: true})
 	t.Cleanup(p.Close)
 	g, err := p.AddGroup("group", 3)
 	if err != nil {
@@ -34,7 +33,7 @@
 // TestFrozenMemberPerformsLate checks that a frozen member performs what was sent to it when it goes on, also when its sender
 // has gone, and that a crash makes it forget.
 func TestFrozenMemberPerformsLate(t *testing.T) {
-	_, g := startGroup(t, Options{})
+	_, g := startGroup(t)
 	m := g.Member(0)
 	for _, crash := range []bool{false, true} {
 		c := dial(t, m)
@@ -65,7 +64,7 @@
 // TestFrozenMemberStandsStill checks that a frozen primary sends its replicas nothing and that a promotion of a frozen
 // replica takes effect when it goes on.
 func TestFrozenMemberStandsStill(t *testing.T) {
-	_, g := startGroup(t, Options{})
+	_, g := startGroup(t)
 	first, second := g.Member(0), g.Member(1)
 	second.SetFrozen(true)
 	if a, err := dial(t, first).Query("WRITE x 1"); err != nil || a.Code != "" {
@@ -108,7 +107,7 @@
 		"lost":    {PromotionPlan{Lost: true, Delay: time.Millisecond}, 0, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p, g := startGroup(t, Options{})
+			p, g := startGroup(t)
 			p.PlanPromotions(func() PromotionPlan { return c.plan })
 			if status := requestPromotion(t, p.Address(), g.Member(1).ID()); status != c.status {
 				t.Errorf("status %d, want %d", status, c.status)
@@ -151,7 +150,7 @@
 // TestAudit checks that a run's log is kept as it was when members are rolled back, that a rolled-back commit leaves the
 // history, and that a replica does not follow a primary of an older term.
 func TestAudit(t *testing.T) {
-	_, g := startGroup(t, Options{})
+	_, g := startGroup(t)
 	first, second := g.Member(0), g.Member(1)
 	query := func(m *Member, text string) Answer {
 		a, err := dial(t, m).Query(text)
