--- a/gateway/action_test.go
+++ b/gateway/action_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -91,6 +92,12 @@
 		s.member(fields[1]).StopReceiving(false)
 	case "leave":
 		s.member(fields[1]).Drain(true)
+	case "stay":
+		s.member(fields[1]).Drain(false)
+	case "freeze":
+		s.member(fields[1]).SetFrozen(true)
+	case "thaw":
+		s.member(fields[1]).SetFrozen(false)
 	case "hold":
 		s.member(fields[1]).PauseReplication(uint64(s.number(fields[2]))) //nolint:gosec // small
 	case "lose-answer":
@@ -113,6 +120,8 @@
 		s.platform.Fail(s.number(fields[1]))
 	case "lose-promotions":
 		s.platform.LosePromotionAnswers(fields[1] == "on")
+	case "promotions": // what becomes of promotion requests from now on
+		s.planPromotions(fields[1:])
 	case "late-deletions":
 		s.platform.DelayDeletions(time.Duration(s.number(fields[1])) * time.Millisecond)
 	case "store-copy":
@@ -190,6 +199,8 @@
 		return strconv.Itoa(s.group.Commits(fields[1]))
 	case "orders":
 		return s.promotionRequests()
+	case "promoted": // the members that promotions made the primary, in order
+		return s.promoted()
 	case "pauses":
 		return strconv.Itoa(s.group.Pauses())
 	case "over-cap":
@@ -231,3 +242,34 @@
 	}
 	return fmt.Sprintf("%d, %s", len(orders), verdict)
 }
+
+// planPromotions sets what becomes of promotion requests: "usual", "lost", "cut", "refused STATUS", "late MILLISECONDS" until
+// their effect, or "held MILLISECONDS" until they are handled.
+func (s *script) planPromotions(fields []string) {
+	number := 0
+	if len(fields) > 1 {
+		number = s.number(fields[1])
+	}
+	duration := time.Duration(number) * time.Millisecond
+	plans := map[string]users.PromotionPlan{
+		"usual": {}, "lost": {Lost: true}, "cut": {Cut: true}, "refused": {Status: number}, "late": {Delay: duration},
+		"held": {Held: duration},
+	}
+	plan, ok := plans[fields[0]]
+	if !ok {
+		s.t.Fatalf("unknown plan %s", fields[0])
+	}
+	s.platform.PlanPromotions(func() users.PromotionPlan { return plan })
+}
+
+// promoted returns the members that promotions made the primary, each once, once no promotion is on its way.
+func (s *script) promoted() string {
+	s.waitUntil("no promotion on its way", func() bool { return s.platform.PendingPromotions() == 0 })
+	var members []string
+	for _, p := range s.group.Promotions() {
+		if !slices.Contains(members, p.Member) {
+			members = append(members, p.Member)
+		}
+	}
+	return strings.Join(members, " ")
+}
--- a/standin/users/freeze_test.go
+++ b/standin/users/freeze_test.go
@@ -30,8 +30,8 @@
 	return c
 }
 
-// TestFrozenMemberPerformsLate checks that a frozen member performs what was sent to it when it goes on, also when its sender
-// has gone, and that a crash makes it forget.
+// TestFrozenMemberPerformsLate checks that a frozen member performs what was sent to it when it goes on, also when its
+// sender has gone, and that a crash makes it forget.
 func TestFrozenMemberPerformsLate(t *testing.T) {
 	_, g := startGroup(t)
 	m := g.Member(0)
