Events tell when a promotion was requested, answered and seen to take effect

The logs of a promotion could not answer how long the platform took, whether a request was sent at all, and which daemons did not release their leases: event 405 came with the platform's answer, and 421 joined the errors of all daemons without saying why.

Now: 423 with member and token before the request; 425 when the platform accepts it, 424 when it does not or does not answer, both with the milliseconds since the request; 405 when the member is seen to lead. 421 names up to eight daemons that refused the connection, and up to eight that did not answer. An attempt still logs a bounded number of lines.

--- a/events/events.go
+++ b/events/events.go
@@ -52,6 +52,9 @@
 	LeaseReleased        Event = 420
 	LeaseReleaseFailed   Event = 421
 	LeaseExpired         Event = 422
+	PromotionRequested   Event = 423
+	PromotionUnconfirmed Event = 424
+	PromotionAccepted    Event = 425
 	AuthenticationFailed Event = 501
 	CallerFailed         Event = 502
 	RequestUnknown       Event = 503
@@ -116,8 +119,11 @@
 	PromotionAbandoned:   {slog.LevelInfo, "promotion attempt was abandoned"},
 	MemberRecovered:      {slog.LevelInfo, "member responds again"},
 	LeaseReleased:        {slog.LevelInfo, "lease on the primary was released for a promotion"},
-	LeaseReleaseFailed:   {slog.LevelWarn, "a daemon did not confirm the release of its lease; waiting until it expires"},
+	LeaseReleaseFailed:   {slog.LevelWarn, "daemons did not confirm the release of their leases"},
 	LeaseExpired:         {slog.LevelWarn, "lease on the primary is not valid, and no replica renewed it"},
+	PromotionRequested:   {slog.LevelWarn, "promotion of a member is requested"},
+	PromotionUnconfirmed: {slog.LevelWarn, "platform did not accept a promotion or did not answer; the latter may take effect"},
+	PromotionAccepted:    {slog.LevelWarn, "platform accepted the promotion of a member"},
 	AuthenticationFailed: {slog.LevelWarn, "caller's authentication failed"},
 	CallerFailed:         {slog.LevelDebug, "caller's connection failed"},
 	RequestUnknown:       {slog.LevelWarn, "request ended with an unknown outcome"},
--- a/targets/promote.go
+++ b/targets/promote.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"citronusher.example/citronusher"
 	"citronusher.example/citronusher/events"
 	"citronusher.example/citronusher/promotion"
@@ -14,7 +11,6 @@
 
 const (
 	promotionTimeout        = 4 * time.Second         // timeout of a whole promotion
-	releaseTimeout          = 300 * time.Millisecond  // timeout of the requests to other instances to release their leases
 	catchUpTimeout          = 400 * time.Millisecond  // timeout for a replica to receive the whole log of a demoted primary
 	catchUpInterval         = 15 * time.Millisecond   // between two checks whether a replica has caught up
 	promotedCheckInterval   = 40 * time.Millisecond   // between two checks whether the promoted member is the primary
@@ -39,6 +35,7 @@
 	wasFree         bool                // nobody could promote a successor to the primary before this attempt
 	requested       bool                // the promotion may have been requested
 	requestDeadline citronusher.Instant // until when the promotion may be requested
+	requestedAt     citronusher.Instant // when the promotion was requested last
 	replies         []memberReply       // the members' replies at the beginning
 	paused          []memberReply       // replies of the replicas whose replication is paused
 	nextDelay       time.Duration       // delay before this instance begins another attempt
@@ -231,130 +228,3 @@
 		time.Sleep(catchUpInterval)
 	}
 }
-
-// requestPromotion promotes the member with the longest log and waits until it is the primary. If not every instance
-// released its lease, it first waits until the leases have expired.
-func (m *promotionAttempt) requestPromotion(ctx context.Context) string {
-	g := m.group
-	list := make([]promotion.Member, 0, len(m.paused))
-	for _, r := range m.paused {
-		list = append(list, promotion.Member{ID: r.id, Position: r.status.Position, Leaving: r.leaving})
-	}
-	candidate, ok := promotion.ChooseCandidate(list)
-	if !ok {
-		return "no member can be promoted"
-	}
-	pausedAt := g.now()
-	if reason := m.checkStillPaused(); reason != "" {
-		m.resumeReplication()
-		return reason
-	}
-	if wait := promotion.EarliestRequestAt(pausedAt, m.releaseLeases(ctx)).Sub(g.now()); wait > 0 {
-		time.Sleep(wait)
-	}
-	if g.now() > m.requestDeadline {
-		m.resumeReplication()
-		return "the claim is too old to request a promotion"
-	}
-	m.requested = true
-	earlier := g.setUnconfirmed(m.claimDeadline)
-	if err := g.set.config.Promoter.Promote(ctx, m.requestDeadline, g.name, candidate, m.claim); err != nil {
-		if errors.Is(err, citronusher.ErrNotRun) {
-			m.requested = false
-			g.setUnconfirmed(earlier)
-		}
-		return "the promotion of " + candidate + " was not confirmed: " + err.Error()
-	}
-	g.set.config.Meter.Promotions().Inc(1)
-	events.Log(g.set.config.Logger, events.Promoted, "group", g.name, "member", candidate, "token", m.claim.Token)
-	return m.awaitPrimary(ctx, candidate)
-}
-
-// adoptPromoted adopts the promoted member. While the claim lasts, nobody else can replace it.
-func (m *promotionAttempt) adoptPromoted() {
-	g := m.group
-	replies := g.queryUp(requestStatus)
-	if g.now() < m.claimDeadline {
-		g.adoptWith(replies, claimFree)
-		return
-	}
-	g.adopt(replies)
-}
-
-// releaseLeases requests that every instance releases its lease for the primary and reports whether all did; it reports
-// false while the store may have lost the registration of some. It reads the instance list after replication was paused: an
-// instance that is not listed can only begin a lease later, and no replica renews that one.
-func (m *promotionAttempt) releaseLeases(ctx context.Context) bool {
-	g := m.group
-	instances, err := g.set.config.Store.Instances(ctx)
-	if err != nil {
-		return false
-	}
-	complete := promotion.ListComplete(m.claim, g.set.config.Store.Era(), g.now())
-	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
-	defer cancel()
-	var tasks errgroup.Group
-	for _, instance := range instances {
-		tasks.Go(func() error {
-			if instance.Name() == g.set.config.Self {
-				g.releaseLease(m.term)
-				return nil
-			}
-			err := g.set.config.Peers.ReleaseLease(ctx, instance, g.name, m.claim, m.term)
-			if errors.Is(err, citronusher.ErrRefused) {
-				return nil // the instance does not run and holds no lease
-			}
-			return err
-		})
-	}
-	if err := tasks.Wait(); err != nil {
-		events.Log(g.set.config.Logger, events.LeaseReleaseFailed, "group", g.name, "term", m.term, "error", err)
-		return false
-	}
-	return complete
-}
-
-// awaitPrimary waits until the promoted member is the primary and adopts it.
-func (m *promotionAttempt) awaitPrimary(ctx context.Context, candidate string) string {
-	g := m.group
-	g.mu.Lock()
-	g.lease.Close()
-	next := g.members[candidate]
-	g.mu.Unlock()
-	for next != nil && ctx.Err() == nil {
-		time.Sleep(promotedCheckInterval)
-		r := g.query(next, memberTimeout, requestStatus)
-		if r.err == nil && r.status.Role == citronusher.RolePrimary {
-			g.setUnconfirmed(0)
-			m.adoptPromoted()
-			m.demoteOld(r.status.Term)
-			m.awaitLease(ctx)
-			return ""
-		}
-	}
-	return "member " + candidate + " has not become the primary yet"
-}
-
-// awaitLease adopts the promoted member again until a replica has reported its term, which begins a lease. After the claim
-// that would need the reports of all replicas, and one of them may be down.
-func (m *promotionAttempt) awaitLease(ctx context.Context) {
-	g := m.group
-	for !g.Ready() && g.now() < m.claimDeadline && ctx.Err() == nil {
-		time.Sleep(promotedCheckInterval)
-		m.adoptPromoted()
-	}
-}
-
-// demoteOld demotes the old primary, if it is reachable, so that it follows the new one at once.
-func (m *promotionAttempt) demoteOld(term uint64) {
-	g := m.group
-	g.mu.Lock()
-	old := g.members[m.primary]
-	reachable := old != nil && m.primary != g.primary && g.now() >= old.downUntil
-	g.mu.Unlock()
-	if reachable {
-		g.query(old, memberTimeout, func(c *pooledConn, deadline citronusher.Instant) (citronusher.MemberStatus, error) {
-			return c.link.Demote(deadline, term)
-		})
-	}
-}
