A promotion may take effect at any time after its request

Cause: with a daemon that did not release its lease, the request for a promotion was sent 300 ms before the last lease expired, because "the platform takes 300 ms or more". A promotion that takes effect at once is used beside a lease on the old primary for up to 300 ms. The model of package promotion took both bounds for granted: every promotion took effect exactly one tick after its request.

Evidence: TestRequestWaitsForLeases failed: "a lease is valid 1.2s after the pause, when the promotion is requested".

Change: the request waits for the whole lease. In the model a promotion takes effect at any time after its request, now or much later, also when its holder has died or another daemon has claimed the group, and requests to resume replicas are always performed late. What the model finds without each of them: - the wait counts on a slow promotion: daemon 0 renews its lease, both replicas are paused, four ticks pass (of five), request, the promotion takes effect. - a resume arrives after the check: pause, abandon, pause both, tick 4 times, daemon 0 asks replica 0, check replica 0, late resume of replica 0, daemon 0 gets a response that renews its lease, tick, check replica 1, request, the promotion takes effect. - a refused daemon counts as one without a lease: daemon 0 renews its lease, pause both, daemon 0 is refused, check both, request, the promotion takes effect. - a claim does not show its request, and: a request is forgotten with its claim: pause both, daemon 0 releases, check both, request, a later holder goes back to the old primary, daemon 0 begins a lease, the promotion takes effect. - the term of a claim goes back: the same with "a later holder that knows no member claims term 0".

Two protections of the model are replaced by stricter ones. "A resume is sent in time" is gone, since every resume is late in the model now, and the check after the wait finds it. "A daemon resumes nothing while a request of its own may take effect" is now demanded of every daemon. "A restarted replica renews" no longer leads to a fault alone, since the check after the wait finds it too; the case removes both.

--- a/promotion/model_daemon_test.go
+++ b/promotion/model_daemon_test.go
@@ -138,7 +138,7 @@
 	change(name+"asks its peer", idle && i > 0 && d.renewedAt < now, func(n *state) {
 		n.daemons[i].send(request{target: firstDaemon})
 	})
-	waiting := !idle && !d.request.responded && (d.request.target != claimRow || !s.claimed) // a claim changes nothing
+	waiting := !idle && !d.request.responded && (d.request.target != claimRow || s.row == rowFree) // a claim changes nothing
 	change(name+"gets a response", waiting, func(n *state) { n.respond(&n.daemons[i].request) })
 	change(name+"receives the response", !idle && d.request.responded, func(n *state) { n.daemons[i].receive(p) })
 	mayRelease := s.promoter.pausedAt != none && !s.promoter.released[i]
@@ -161,7 +161,7 @@
 	r.responded = true
 	switch r.target {
 	case claimRow:
-		r.free = !s.claimed
+		r.free = s.row == rowFree
 	case firstDaemon:
 		if peer := &s.daemons[0]; peer.valid() {
 			r.renewedAt = peer.renewedAt
--- a/promotion/model_test.go
+++ b/promotion/model_test.go
@@ -1,6 +1,7 @@
 package promotion_test
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -10,8 +11,8 @@
 	"citronusher.example/citronusher/promotion"
 )
 
-// One tick of the model is the shortest time that a promotion takes. The lease TTL is five ticks. Times are relative: when a
-// tick passes they all move back, until none of the rules tells them from older ones.
+// The lease TTL is five ticks. Times are relative: when a tick passes they all move back, until none of the rules tells them
+// from older ones. A request for a promotion takes effect at any time after it, within the same tick or much later.
 const (
 	tick     = 300 * time.Millisecond
 	ttl      = int8(lease.TTL / tick)
@@ -23,18 +24,28 @@
 	daemons  = 2 // that use the old primary
 )
 
-// state is the model's state: daemons that use a primary of term 1, and a daemon that promotes a replica. The old primary
-// commits until the end. After the promotion took effect replica 1 is cut from the new primary: it reports term 1.
+// state is the model's state: daemons that use a primary of term 1, and daemons that promote a replica, one after the other.
+// The old primary commits until the end. After the promotion took effect replica 1 is cut from the new primary: it reports
+// term 1. An effect at any time stands for a request that is sent at any time, by a holder that was frozen before it.
 type state struct {
 	replicas  [replicas]replica
 	daemons   [daemons]daemon
 	promoter  promoter
-	claimed   bool // the claim's row shows that a daemon may replace the primary of term 1
-	requested bool // the promotion takes effect at the next tick
+	row       row  // what the claim's row shows
+	requested bool // the promotion may take effect
 	effective bool // the promotion has taken effect
 	restarts  int8 // replicas that restarted
 }
 
+// row is what the claim's row shows.
+type row int8
+
+const (
+	rowFree   row = iota // nobody can have replaced the primary of term 1
+	rowHeld              // a daemon may be about to replace it
+	rowMarked            // a promotion may have been requested
+)
+
 type replica struct {
 	restarted bool
 	paused    bool
@@ -47,7 +58,8 @@
 	paused    [replicas]bool // replicas that confirmed their pause
 	pausedAt  int8           // when the last confirmation arrived; none before
 	checked   [replicas]bool // replicas that were paused later than that
-	released  [daemons]bool  // daemons that have released their leases on its request
+	released  [daemons]bool  // daemons that it takes for having released their leases
+	marked    bool           // the row shows its request
 }
 
 // limits bound an exploration.
@@ -74,15 +86,19 @@
 	countFromSend bool // leases count from when the request was sent, not from when the response arrived
 	ignoreEarlier bool // a daemon that released its lease ignores responses to earlier requests
 
-	validOnArrival  bool // a status renews only a lease that is valid when it arrives
-	continuous      bool // a status renews only on a connection that is older than the last renewal
-	sinceClaim      bool // a status renews only on a connection that is older than a read that showed no claim
-	allReports      bool // a lease begins with the statuses of all replicas, not of one
-	readClaim       bool // a lease begins after a read that showed no claim
-	checkPaused     bool // each replica is found paused once more after all confirmed their pause
-	resumeInTime    bool // an abandoned promotion resumes replicas before its claim ends, or never
-	awaitOwnRequest bool // a daemon resumes nothing while a request of its own may take effect
-	keepClaim       bool // a later holder does not free a claim under which a promotion may have taken effect
+	validOnArrival bool // a status renews only a lease that is valid when it arrives
+	continuous     bool // a status renews only on a connection that is older than the last renewal
+	sinceClaim     bool // a status renews only on a connection that is older than a read that showed no claim
+	allReports     bool // a lease begins with the statuses of all replicas, not of one
+	readClaim      bool // a lease begins after a read that showed no claim
+	checkPaused    bool // each replica is found paused once more after all confirmed their pause
+	checkAfterWait bool // that is after the last lease was released or has expired
+	waitFullTTL    bool // the wait does not count on a promotion that takes time
+	refusedHolds   bool // a daemon whose machine refuses connections counts as one that did not release its lease
+	markRequest    bool // the row shows a request before it is sent
+	keepRequest    bool // a later holder does not go back to the old primary when the row shows a request
+	keepTerm       bool // a claim has the term of the one that it replaces, or a later one
+	keepClaim      bool // a later holder does not free a claim under which a promotion may have taken effect
 }
 
 func at(ticks int8) citronusher.Instant {
@@ -176,7 +192,7 @@
 	if !s.effective {
 		s.promoterEvents(p, l, change)
 	}
-	change("a later holder frees the claim", s.effective && s.claimed && !p.keepClaim, func(n *state) { n.claimed = false })
+	s.laterHolderEvents(p, change)
 }
 
 // digit returns a number below ten as text.
@@ -188,10 +204,6 @@
 		s.daemons[d].advance(p)
 	}
 	s.promoter.pausedAt = back(s.promoter.pausedAt, expired)
-	if s.requested {
-		s.requested, s.effective, s.promoter = false, true, promoter{pausedAt: none}
-		s.resumeAll()
-	}
 }
 
 // back moves a time back by a tick, but not beyond floor.
@@ -223,27 +235,64 @@
 	}
 }
 
+// laterHolderEvents adds the states after what a daemon does that claims the group after a request.
+func (s *state) laterHolderEvents(p protections, change changer) {
+	change("the promotion takes effect", s.requested, (*state).takeEffect)
+	shown := s.row == rowMarked && p.keepRequest
+	change("a later holder goes back to the old primary", s.requested && !shown, func(n *state) {
+		n.row = rowFree
+		n.resumeAll()
+	})
+	change("a later holder that knows no member claims term 0", s.requested && !p.keepTerm, func(n *state) {
+		n.row = rowFree
+	})
+	change("a later holder frees the claim", s.effective && !p.keepClaim, func(n *state) { n.row = rowFree })
+}
+
+// takeEffect makes replica 0 the primary.
+func (s *state) takeEffect() {
+	s.requested, s.effective, s.promoter = false, true, promoter{pausedAt: none}
+	s.resumeAll()
+}
+
 // promoterEvents adds the states after the next event of the promotion.
 func (s *state) promoterEvents(p protections, l limits, change changer) {
 	m := &s.promoter
+	mayRequest := m.pausedAt != none && !s.requested
 	for r := range int8(replicas) {
 		mayPause := m.pausedAt == none && !m.paused[r] && (p.pauseAll || r == 0)
 		change("claim and pause replica "+digit(r), mayPause, func(n *state) {
-			n.claimed, n.replicas[r].paused, n.promoter.paused[r] = true, true, true
+			n.row, n.replicas[r].paused, n.promoter.paused[r] = rowHeld, true, true
 		})
 		mayCheck := p.checkPaused && m.paused[r] && m.pausedAt != none && !m.checked[r] && s.replicas[r].paused
+		mayCheck = mayCheck && (!p.checkAfterWait || s.leasesEnded(p, l))
 		change("check replica "+digit(r), mayCheck, func(n *state) { n.promoter.checked[r] = true })
 	}
+	for d := range l.daemons {
+		mayRefuse := !p.refusedHolds && m.pausedAt != none && !m.released[d]
+		change("daemon "+strconv.Itoa(d)+" is refused", mayRefuse, func(n *state) { n.promoter.released[d] = true })
+	}
 	allPaused := m.paused[0] && (m.paused[1] || !p.pauseAll)
 	change("all are paused", allPaused && m.pausedAt == none, func(n *state) { n.promoter.pausedAt = now })
 	begun := m.paused != [replicas]bool{}
-	change("abandon", l.abandons && begun && !m.abandoned && !s.requested, func(n *state) { n.abandon(p) })
-	mayRequest := m.pausedAt != none && !s.requested && (!p.checkPaused || m.checked == m.paused)
-	if mayRequest && p.waitForExpiry {
-		mayRequest = at(now) >= promotion.EarliestRequestAt(at(m.pausedAt), s.allReleased(l))
+	change("abandon", l.abandons && begun && !m.abandoned && !s.requested, (*state).abandon)
+	mayRequest = mayRequest && (!p.checkPaused || m.checked == m.paused) && s.leasesEnded(p, l)
+	change("mark the request", mayRequest && p.markRequest && !m.marked, func(n *state) {
+		n.row, n.promoter.marked = rowMarked, true
+	})
+	change("request", mayRequest && (m.marked || !p.markRequest), func(n *state) { n.requested = true })
+}
+
+// leasesEnded reports whether the promoter takes every lease for released or expired.
+func (s *state) leasesEnded(p protections, l limits) bool {
+	if !p.waitForExpiry {
+		return true
+	}
+	end := promotion.EarliestRequestAt(at(s.promoter.pausedAt), s.allReleased(l))
+	if !p.waitFullTTL {
+		end = end.Add(-tick)
 	}
-	change("request", mayRequest, func(n *state) { n.requested = true }) // later effects are covered by later requests
-	change("resume beside the own request", s.requested && !p.awaitOwnRequest, (*state).resumeAll)
+	return at(now) >= end
 }
 
 func (s *state) allReleased(l limits) bool {
@@ -255,26 +304,22 @@
 	return true
 }
 
-// abandon ends the promotion before its request, and frees the claim. Another promotion may follow.
-func (s *state) abandon(p protections) {
+// abandon ends the promotion before its request, and frees the claim. Another promotion may follow. The requests to resume
+// the replicas are performed late.
+func (s *state) abandon() {
 	for r := range s.replicas {
-		switch {
-		case !s.promoter.paused[r]:
-		case p.resumeInTime:
-			s.replicas[r].paused = false
-		default:
-			s.replicas[r].resume = true
-		}
+		s.replicas[r].resume = s.replicas[r].resume || s.promoter.paused[r]
 	}
 	s.promoter = promoter{abandoned: true, pausedAt: none}
-	s.claimed = false
+	s.row = rowFree
 }
 
 // all are the protections that suffice together.
 func all() protections {
 	return protections{
 		pauseAll: true, waitForExpiry: true, countFromSend: true, ignoreEarlier: true, validOnArrival: true, continuous: true,
-		readClaim: true, checkPaused: true, resumeInTime: true, awaitOwnRequest: true, keepClaim: true,
+		readClaim: true, checkPaused: true, checkAfterWait: true, waitFullTTL: true, refusedHolds: true, markRequest: true,
+		keepRequest: true, keepTerm: true, keepClaim: true,
 	}
 }
 
@@ -319,12 +364,16 @@
 		{"leases count from a response", abandoned, func(p *protections) { p.countFromSend = false }},
 		{"earlier responses are used", abandoned, func(p *protections) { p.ignoreEarlier = false }},
 		{"an expired lease is renewed", abandoned, func(p *protections) { p.validOnArrival = false }},
-		{"a restarted replica renews", restart, func(p *protections) { p.continuous = false }},
+		{"a restarted replica renews", restart, func(p *protections) { p.continuous, p.checkAfterWait = false, false }},
 		{"a lease begins without the claim", abandoned, func(p *protections) { p.readClaim = false }},
 		{"the reports of all replace the claim", restart, func(p *protections) { p.readClaim, p.allReports = false, true }},
 		{"a restart during the pauses is not seen", restart, func(p *protections) { p.checkPaused = false }},
-		{"a resume arrives late", abandoned, func(p *protections) { p.resumeInTime = false }},
-		{"an unconfirmed request is forgotten", abandoned, func(p *protections) { p.awaitOwnRequest = false }},
+		{"a resume arrives after the check", abandoned, func(p *protections) { p.checkAfterWait = false }},
+		{"the wait counts on a slow promotion", abandoned, func(p *protections) { p.waitFullTTL = false }},
+		{"a refused daemon counts as one without a lease", abandoned, func(p *protections) { p.refusedHolds = false }},
+		{"a claim does not show its request", abandoned, func(p *protections) { p.markRequest = false }},
+		{"a request is forgotten with its claim", abandoned, func(p *protections) { p.keepRequest = false }},
+		{"the term of a claim goes back", abandoned, func(p *protections) { p.keepTerm = false }},
 		{"a claim is freed after a promotion", abandoned, func(p *protections) { p.keepClaim = false }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/promotion/promotion.go
+++ b/promotion/promotion.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// minPromotionTime is the shortest time that the platform takes from a promotion request to its effect.
-	minPromotionTime = 300 * time.Millisecond
 	// refusedDelay is how long an outage must last when the primary's machine refuses connections.
 	refusedDelay = 50 * time.Millisecond
 	// unresponsiveDelay is how long an outage must last, after the first failed probe, when the primary does not respond.
@@ -51,13 +49,13 @@
 }
 
 // EarliestRequestAt returns the earliest time at which a promotion may be requested when the last replica paused
-// replication at pausedAt: at once when every daemon has released its lease, and otherwise so late that every lease that
-// was renewed before has expired when the promotion takes effect.
+// replication at pausedAt: at once when every daemon has released its lease, and otherwise when every lease that was renewed
+// before has expired. The promotion may take effect as soon as it is requested.
 func EarliestRequestAt(pausedAt citronusher.Instant, released bool) citronusher.Instant {
 	if released {
 		return pausedAt
 	}
-	return pausedAt.Add(lease.TTL - minPromotionTime)
+	return pausedAt.Add(lease.TTL)
 }
 
 // Member is a member whose replication is paused.
--- a/promotion/promotion_test.go
+++ b/promotion/promotion_test.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/lease"
 	"citronusher.example/citronusher/promotion"
 )
 
@@ -61,3 +62,18 @@
 		}
 	}
 }
+
+// TestRequestWaitsForLeases guards against a promotion that takes effect at once, while a lease is valid that was renewed
+// just before the last replica paused.
+func TestRequestWaitsForLeases(t *testing.T) {
+	const pausedAt = citronusher.Instant(time.Minute)
+	var l lease.Lease
+	l.Begin(1)
+	l.Establish(pausedAt)
+	if at := promotion.EarliestRequestAt(pausedAt, false); l.Valid(at) {
+		t.Errorf("a lease is valid %s after the pause, when the promotion is requested", at.Sub(pausedAt))
+	}
+	if at := promotion.EarliestRequestAt(pausedAt, true); at != pausedAt {
+		t.Errorf("the request waits %s although no lease is held", at.Sub(pausedAt))
+	}
+}
