A refused connection is no proof that a daemon has no lease

Cause: a promotion did not wait for the lease of a daemon whose machine refused the connection, as if it had ended. A network that refuses connections to a daemon that runs (a reset link, a listener that is full or not yet open) let the promotion take effect while that daemon used the old primary: reads that lack commits (STALE), commits that are lost (ONE).

Evidence: TestRefusedDaemonMayHoldALease failed: "the promotion was requested 0s after the pauses, want 1.5s". In the model, without refusedHolds: daemon 0 renews its lease, both replicas are paused, daemon 0 is refused, request, the promotion takes effect.

Change: a refusal counts as a lease that is held, so that the request waits for its end. A daemon that stops removes its row when its leases have ended and is not asked any more. One that was killed costs the promotions of the groups up to 1.5 s until it is back.

--- a/peer/group.go
+++ b/peer/group.go
@@ -138,8 +138,8 @@
 	return client, transport.CloseIdleConnections
 }
 
-// ReleaseLease asks a daemon to release its leases. Its error wraps ErrRefused when the daemon does not run and so has no
-// leases, and ErrUnavailable when it did not respond.
+// ReleaseLease asks a daemon to release its leases. Its error wraps ErrRefused when the connection was refused, and
+// ErrUnavailable when the daemon did not respond.
 func (c *GroupClient) ReleaseLease(
 	ctx context.Context, instance citronusher.Instance, group string, claim citronusher.Claim, term uint64,
 ) error {
--- a/plan.go
+++ b/plan.go
@@ -186,7 +186,7 @@
 // Peers sends requests to the other daemons that serve the same groups.
 type Peers interface {
 	// ReleaseLease makes a daemon release its leases on a group's primaries up to term, under claim. Its error wraps
-	// ErrRefused when the daemon does not run, and ErrUnavailable when it did not respond.
+	// ErrRefused when the connection was refused, and ErrUnavailable when the daemon did not respond.
 	ReleaseLease(ctx context.Context, instance Instance, group string, claim Claim, term uint64) error
 	// LeaseRenewalAge returns how long before its response a daemon sent the request that renewed its lease on a group's
 	// primary of a term. Its error wraps ErrUnavailable, or ErrNotFound when it has no such lease.
--- a/targets/release.go
+++ b/targets/release.go
@@ -37,11 +37,11 @@
 	}
 	tasks.Wait()
 	held := unreleased(instances, failures)
-	if len(held.unanswered) > 0 || len(held.refused) > 0 {
+	if !held.none() {
 		events.Log(g.set.config.Logger, events.LeaseReleaseFailed, "group", g.name, "term", m.term, "unanswered",
 			shorten(held.unanswered), "refused", shorten(held.refused))
 	}
-	return complete && len(held.unanswered) == 0
+	return complete && held.none()
 }
 
 // releaseLeaseOf requests that an instance, which may be this one, releases its lease.
@@ -54,11 +54,14 @@
 }
 
 // heldLeases names the instances that did not confirm the release of their leases: those whose machines refused the
-// connection, and those that did not answer.
+// connection, and those that did not answer. A refused connection does not show that the instance has ended, because a
+// network may refuse connections to one that runs.
 type heldLeases struct {
 	refused, unanswered []string
 }
 
+func (h heldLeases) none() bool { return len(h.refused) == 0 && len(h.unanswered) == 0 }
+
 // unreleased returns the instances that did not confirm the release, given the error of each, which is nil for the others.
 func unreleased(instances []citronusher.Instance, failures []error) heldLeases {
 	var held heldLeases
