Replicas are found paused after the wait for leases, not before it

Cause: a promoter checked that each replica was still paused, and then waited until the lease of a daemon that had not answered expired. A replica that performed an earlier request to resume during that wait (frozen, or on a delayed connection), or restarted, renewed that lease, and the promotion was requested beside it.

Change: the check comes after the wait, and requires the very pause term that this attempt set. Then no lease that was not released is valid. Where nothing has to be waited for, the number of requests is as before.

--- a/targets/pause.go
+++ b/targets/pause.go
@@ -3,10 +3,14 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"citronusher.example/citronusher"
 )
 
+// busyInterval is the time between two requests to a replica that is too busy to report whether it is paused.
+const busyInterval = 20 * time.Millisecond
+
 // demoteSuperseded makes replicas of the members that still regard themselves as the primary of an older term than the
 // newest one. Such a member has not heard of the later promotion, and would not pause replication.
 func (m *promotionAttempt) demoteSuperseded() {
@@ -69,30 +73,66 @@
 	return ""
 }
 
-// checkStillPaused returns a reason if a replica may have restarted before the last one was paused, so that it forgot the
-// pause and has renewed leases since. One that is too busy to answer is known by its connections not to have restarted.
+// checkStillPaused returns a reason if a replica may have renewed leases since it was paused, because it restarted and
+// forgot the pause, or performed an earlier request to resume. Called when each lease was released or has expired, it
+// proves that no lease is valid and that no report of a replica renews one.
 func (m *promotionAttempt) checkStillPaused() string {
-	paused := map[*member]memberReply{}
+	unchecked := map[*member]memberReply{}
 	for _, r := range m.paused {
-		paused[r.member] = r
+		unchecked[r.member] = r
 	}
-	replies := m.group.querySome(requestStatus, func(other *member) bool {
-		_, ok := paused[other]
-		return ok
-	})
-	for _, r := range replies {
-		busy := r.err != nil && citronusher.AsFailure(r.err).Reason() == citronusher.ReasonFull
-		runs := busy && r.since <= paused[r.member].sentAt
-		if r.err != nil && !runs || r.err == nil && r.status.PausedTerm <= m.term {
-			return "replication at member " + r.id + " may not be paused any more"
+	for deadline := m.group.now().Add(memberTimeout); len(unchecked) > 0; time.Sleep(busyInterval) {
+		replies := m.group.querySome(requestStatus, func(other *member) bool {
+			_, ok := unchecked[other]
+			return ok
+		})
+		if len(replies) < len(unchecked) {
+			return "a paused member was removed"
+		}
+		for _, r := range replies {
+			switch m.pauseState(r, unchecked[r.member]) {
+			case pauseLost:
+				return "replication at member " + r.id + " may not be paused any more"
+			case pauseKept:
+				delete(unchecked, r.member)
+			case pauseUnknown:
+			}
+		}
+		if len(unchecked) > 0 && m.group.now() >= deadline {
+			return "a paused member is too busy to answer"
 		}
-	}
-	if len(replies) < len(paused) {
-		return "a paused member was removed"
 	}
 	return ""
 }
 
+// pauseState is what a replica's reply shows about its pause.
+type pauseState int
+
+const (
+	// pauseLost means that the replica may have renewed leases since.
+	pauseLost pauseState = iota
+	// pauseKept means that the replica has renewed no lease that is still valid.
+	pauseKept
+	// pauseUnknown means that the replica was too busy to answer.
+	pauseUnknown
+)
+
+// pauseState returns what a reply shows about the pause that an earlier one confirmed. When every lease was released,
+// it suffices that the replica's process still runs, which its connections show.
+func (m *promotionAttempt) pauseState(r, paused memberReply) pauseState {
+	busy := r.err != nil && citronusher.AsFailure(r.err).Reason() == citronusher.ReasonFull
+	switch {
+	case r.err == nil && r.status.PausedTerm == paused.status.PausedTerm:
+		return pauseKept
+	case busy && m.released && r.since <= paused.sentAt:
+		return pauseKept
+	case busy:
+		return pauseUnknown
+	default:
+		return pauseLost
+	}
+}
+
 // checkReachable returns a reason if a member other than the primary is down for this instance: it may still be able to
 // renew the leases of others.
 func (m *promotionAttempt) checkReachable() string {
@@ -107,8 +147,8 @@
 	return ""
 }
 
-// mayResume reports whether replication may be resumed: no promotion that this instance requested may take effect any more,
-// and no other instance can have paused the members for another one.
+// mayResume reports whether replication may be resumed: no promotion that this instance requested may take effect any
+// more, and no other instance can have paused the members for another one.
 func (m *promotionAttempt) mayResume() bool {
 	m.group.mu.Lock()
 	defer m.group.mu.Unlock()
--- a/targets/promote.go
+++ b/targets/promote.go
@@ -38,6 +38,7 @@
 	requestedAt     citronusher.Instant // when the promotion was requested last
 	replies         []memberReply       // the members' replies at the beginning
 	paused          []memberReply       // replies of the replicas whose replication is paused
+	released        bool                // every instance has released its lease
 	nextDelay       time.Duration       // delay before this instance begins another attempt
 	claimWait       time.Duration       // until a claim that the store may have lost has ended
 	claimedByOther  bool                // another instance holds the claim, or has held one that the store may have lost
--- a/targets/request.go
+++ b/targets/request.go
@@ -23,13 +23,14 @@
 		return "no member can be promoted"
 	}
 	pausedAt := g.now()
+	m.released = m.releaseLeases(ctx)
+	if wait := promotion.EarliestRequestAt(pausedAt, m.released).Sub(g.now()); wait > 0 {
+		time.Sleep(wait)
+	}
 	if reason := m.checkStillPaused(); reason != "" {
 		m.resumeReplication()
 		return reason
 	}
-	if wait := promotion.EarliestRequestAt(pausedAt, m.releaseLeases(ctx)).Sub(g.now()); wait > 0 {
-		time.Sleep(wait)
-	}
 	if g.now() > m.requestDeadline {
 		m.resumeReplication()
 		return "the claim is too old to request a promotion"
