The term of a claim only rises

Cause: an abandoned attempt freed its claim by writing term 0, which reads as free for every term; so did the first claim of a daemon that had not heard of any member. The row then no longer told that an older primary had been replaced, or that a promotion might have been requested. A daemon that reached only that older primary and a replica that still followed it began a lease: two primaries in use.

Change: the row has a phase, free or held, beside the term. The term of a claim is at least that of the one that it replaces. A claim on a later term than a primary's shows that the primary was replaced, whatever its phase and however old it is. A daemon that finds a later term in the row than it knows replaces a primary that it does not know, so that every member has to be paused.

--- a/plan.go
+++ b/plan.go
@@ -78,8 +78,8 @@
 	BornMillis int64
 }
 
-// StoreEra is a span of time in which the store loses nothing that it acknowledged. An era ends when the store returns from
-// an older copy: what was written since the copy is gone, and versions are given out again.
+// StoreEra is a span of time in which the store loses nothing that it acknowledged. An era ends when the store returns
+// from an older copy: what was written since the copy is gone, and versions are given out again.
 type StoreEra struct {
 	// Number increases by one with each era; 0 when the store has no eras.
 	Number uint64
@@ -97,6 +97,17 @@
 	Number uint64
 }
 
+// ClaimPhase is how far the holder of a claim may have come.
+type ClaimPhase string
+
+// The phases of a claim.
+const (
+	// ClaimFree is the phase of a claim whose holder has requested no promotion, and will not.
+	ClaimFree ClaimPhase = "free"
+	// ClaimHeld is the phase of a claim whose holder may be about to replace the primary.
+	ClaimHeld ClaimPhase = "held"
+)
+
 // Claim is a daemon's exclusive permission to promote a member of a group. It is a row in the store.
 type Claim struct {
 	// Holder names the daemon's process.
@@ -107,8 +118,11 @@
 	Era uint64
 	// Version is the version of the claim's row, which WriteClaim must expect; 0 without a claim.
 	Version uint64
-	// Term is the term of the primary that the holder may be replacing; 0 when it certainly requested no promotion.
+	// Term is the highest term of a primary that the holder of this claim or of an earlier one has known: that of the
+	// primary that the holder may be replacing.
 	Term uint64
+	// Phase is how far the holder may have come.
+	Phase ClaimPhase
 	// EndMillis is when the claim ends, in milliseconds of the store's clock.
 	EndMillis int64
 	// StoreMillis is the store's clock when it responded, in milliseconds.
@@ -123,24 +137,25 @@
 	// Plan returns the newest plan and the store's version of it, also with ErrInvalid, when that plan is invalid.
 	Plan(ctx context.Context) (Plan, StoreVersion, error)
 	// WaitForPlan waits for a plan that is newer than the store's version after. found is false when none appeared. With
-	// ErrInvalid the newest plan is invalid, and version is past it; found may be an older one. When the store is in another
-	// era it returns the newest plan.
+	// ErrInvalid the newest plan is invalid, and version is past it; found may be an older one. When the store is in
+	// another era it returns the newest plan.
 	WaitForPlan(ctx context.Context, after StoreVersion) (plan Plan, found bool, version StoreVersion, err error)
 	// Members returns the members of all groups.
 	Members(ctx context.Context) ([]MemberReport, error)
 	// Instances returns the registered daemons, those that are leaving included.
 	Instances(ctx context.Context) ([]Instance, error)
 	// SomeInstances returns registered daemons at the cost of one call. complete is false when the part of the store that
-	// keeps most of them did not respond, so that the list may lack any of them; it always may lack daemons that registered
-	// during such an outage.
+	// keeps most of them did not respond, so that the list may lack any of them; it always may lack daemons that
+	// registered during such an outage.
 	SomeInstances(ctx context.Context) (list []Instance, complete bool, err error)
-	// Register adds a daemon to the registered ones, or replaces the registration that an earlier process of its name left.
+	// Register adds a daemon to the registered ones, or replaces the registration that an earlier process of its name
+	// left.
 	Register(ctx context.Context, instance Instance) error
 	// Replicate registers a registered daemon in every other part of the store that keeps daemons, so that it is found
 	// while some of them are down.
 	Replicate(ctx context.Context, instance Instance) error
-	// Deregister removes a daemon from the registered ones. Before that it is listed as leaving, and it is removed only if it
-	// has not registered again since. A daemon that is listed as live is not removed by a call that is performed late.
+	// Deregister removes a daemon from the registered ones. Before that it is listed as leaving, and it is removed only if
+	// it has not registered again since. A daemon that is listed as live is not removed by a call that is performed late.
 	Deregister(ctx context.Context, instance Instance) error
 	// ReadClaim returns the claim on a group.
 	ReadClaim(ctx context.Context, group string) (Claim, error)
@@ -150,8 +165,8 @@
 
 // Promoter requests promotions from the platform.
 type Promoter interface {
-	// Promote requests that the member becomes the group's primary, under the claim, unless the deadline has passed when the
-	// request could be sent. When it returns, no request of this call is still in progress.
+	// Promote requests that the member becomes the group's primary, under the claim, unless the deadline has passed when
+	// the request could be sent. When it returns, no request of this call is still in progress.
 	Promote(ctx context.Context, deadline Instant, group, member string, claim Claim) error
 }
 
--- a/promotion/claim.go
+++ b/promotion/claim.go
@@ -18,9 +18,10 @@
 	statusAge = 1 * time.Second
 )
 
-// ClaimableAt returns the earliest time at which self may replace the claim that was read from the store in era: at once
-// when self holds it or it has ended by the store's clock. A claim that was not written in that era, or no claim, does not
-// show which claims the store lost before the era. The last of them ends at most ClaimTTL after the era was seen.
+// ClaimableAt returns the earliest time at which self may replace the claim that was read from the store in era: at
+// once when self holds it or it has ended by the store's clock. A claim that was not written in that era, or no claim,
+// does not show which claims the store lost before the era. The last of them ends at most ClaimTTL after the era was
+// seen.
 func ClaimableAt(
 	read citronusher.Claim, era citronusher.StoreEra, self string, now citronusher.Instant,
 ) citronusher.Instant {
@@ -34,20 +35,33 @@
 	}
 }
 
-// NextClaim returns the claim by which self replaces the one that was read from the store in era, to replace the primary of
-// term.
+// NextClaim returns the claim by which self replaces the one that was read from the store in era, to replace the
+// primary of term, or of a later term that the replaced claim names.
 func NextClaim(read citronusher.Claim, era citronusher.StoreEra, self string, term uint64) citronusher.Claim {
 	return citronusher.Claim{
-		Holder: self, Era: era.Number, Term: term, EndMillis: read.StoreMillis + ClaimTTL.Milliseconds(),
+		Holder: self, Era: era.Number, Term: max(term, read.Term), Phase: citronusher.ClaimHeld,
+		EndMillis: read.StoreMillis + ClaimTTL.Milliseconds(),
 	}
 }
 
-// Unclaimed reports whether the claim that was read from the store in era shows that, up to then, nobody could replace the
-// primary of term. One that was not written in that era does not, because the store may have lost a later one.
+// FreeClaim returns the claim by which self records in era that nobody has replaced the primary of term, in place of
+// the one that was read.
+func FreeClaim(read citronusher.Claim, era citronusher.StoreEra, self string, term uint64) citronusher.Claim {
+	return citronusher.Claim{
+		Holder: self, Era: era.Number, Term: max(term, read.Term), Phase: citronusher.ClaimFree, EndMillis: read.StoreMillis,
+	}
+}
+
+// Unclaimed reports whether the claim that was read from the store in era shows that, up to then, nobody could replace
+// the primary of term. One that was not written in that era does not, because the store may have lost a later one.
 func Unclaimed(read citronusher.Claim, era citronusher.StoreEra, term uint64) bool {
-	return read.Era == era.Number && read.Term < term
+	free := read.Term < term || read.Term == term && read.Phase == citronusher.ClaimFree
+	return read.Era == era.Number && free
 }
 
+// Superseded reports whether the claim shows that the primary of term has been replaced.
+func Superseded(read citronusher.Claim, term uint64) bool { return read.Term > term }
+
 // Settled reports whether each claim that the store lost before era has ended.
 func Settled(era citronusher.StoreEra, now citronusher.Instant) bool {
 	return now >= era.SeenAt.Add(ClaimTTL)
@@ -59,20 +73,20 @@
 	return read.EndMillis+statusAge.Milliseconds() <= read.StoreMillis
 }
 
-// ClaimDeadline returns the time until which nobody else can claim the group, when the read request for the claim was sent
-// at requestedAt.
+// ClaimDeadline returns the time until which nobody else can claim the group, when the read request for the claim was
+// sent at requestedAt.
 func ClaimDeadline(requestedAt citronusher.Instant) citronusher.Instant {
 	return requestedAt.Add(ClaimTTL)
 }
 
-// RequestDeadline returns the time until which a daemon may request a promotion under a claim, when the read request for the
-// claim was sent at requestedAt.
+// RequestDeadline returns the time until which a daemon may request a promotion under a claim, when the read request
+// for the claim was sent at requestedAt.
 func RequestDeadline(requestedAt citronusher.Instant) citronusher.Instant {
 	return requestedAt.Add(requestWindow)
 }
 
-// ListComplete reports whether the list of instances that is read from the store in era names every daemon that may hold a
-// lease, for the holder of claim.
+// ListComplete reports whether the list of instances that is read from the store in era names every daemon that may
+// hold a lease, for the holder of claim.
 func ListComplete(claim citronusher.Claim, era citronusher.StoreEra, now citronusher.Instant) bool {
 	return claim.Era == era.Number && (!era.Restored || now >= era.SeenAt.Add(registrationTime))
 }
--- a/promotion/claim_test.go
+++ b/promotion/claim_test.go
@@ -38,8 +38,8 @@
 	}
 }
 
-// TestLostClaimsExclude guards against two daemons that promote at once because the store lost the claim of one of them: in
-// a new era a claim is written only when each claim of the earlier era has ended.
+// TestLostClaimsExclude guards against two daemons that promote at once because the store lost the claim of one of
+// them: in a new era a claim is written only when each claim of the earlier era has ended.
 func TestLostClaimsExclude(t *testing.T) {
 	const now = citronusher.Instant(time.Minute)
 	lastClaim := citronusher.Claim{Holder: "d1", Era: 1, EndMillis: 1, StoreMillis: 2}
@@ -86,13 +86,18 @@
 	}
 }
 
-// TestOnlyAFreeClaimProvesALease guards against a lease on a primary whose successor may have been promoted: a claim on its
-// term, one that the store may have lost, and one that ended only now prove nothing.
+// TestOnlyAFreeClaimProvesALease guards against a lease on a primary whose successor may have been promoted: a claim on
+// its term, one that the store may have lost, and one that ended only now prove nothing.
 func TestOnlyAFreeClaimProvesALease(t *testing.T) {
 	const term = 4
 	era := citronusher.StoreEra{Number: 2}
 	claim := func(era, term uint64, endMillis, storeMillis int64) citronusher.Claim {
-		return citronusher.Claim{Era: era, Term: term, EndMillis: endMillis, StoreMillis: storeMillis}
+		return citronusher.Claim{
+			Era: era, Term: term, Phase: citronusher.ClaimHeld, EndMillis: endMillis, StoreMillis: storeMillis,
+		}
+	}
+	free := func(term uint64) citronusher.Claim {
+		return citronusher.Claim{Era: 2, Term: term, Phase: citronusher.ClaimFree, EndMillis: 9000, StoreMillis: 8000}
 	}
 	for name, c := range map[string]struct {
 		read             citronusher.Claim
@@ -102,7 +107,9 @@
 		"claim on the term, ending": {claim(2, term, 9000, 9999), false, false},
 		"claim on the term, ended":  {claim(2, term, 9000, 10000), false, true},
 		"claim on the predecessor":  {claim(2, term-1, 9000, 8000), true, false},
-		"claim that was freed":      {claim(2, 0, 9000, 8000), true, false},
+		"claim that was freed":      {free(term), true, false},
+		"freed, on the predecessor": {free(term - 1), true, false},
+		"freed, on a successor":     {free(term + 1), false, false},
 		"none in this era":          {claim(0, 0, 0, 8000), false, true},
 		"of an earlier era":         {claim(1, term-1, 1, 8000), false, true},
 	} {
@@ -114,3 +121,15 @@
 		}
 	}
 }
+
+// TestClaimTermNeverGoesBack guards against a lease on a primary that was replaced: a daemon that knows no member
+// claims the group over the claim under which a promotion was requested.
+func TestClaimTermNeverGoesBack(t *testing.T) {
+	const term = 4
+	era := citronusher.StoreEra{Number: 2}
+	read := promotion.NextClaim(citronusher.Claim{Era: 2}, era, "d1", term)
+	next := promotion.NextClaim(read, era, "d2", 0)
+	if next.Term != term || promotion.Unclaimed(next, era, term) {
+		t.Errorf("the claim on term %d was replaced by one on term %d", term, next.Term)
+	}
+}
--- a/targets/claim.go
+++ b/targets/claim.go
@@ -26,6 +26,9 @@
 		return m.deferClaim(read, era, claimableAt.Sub(now))
 	}
 	next := promotion.NextClaim(read, era, g.set.holder, m.term)
+	if next.Term > m.term {
+		m.term, m.primary = next.Term, "" // a primary that this instance does not know
+	}
 	if m.claim, err = g.set.config.Store.WriteClaim(ctx, g.name, read.Version, next); err != nil {
 		return "the claim could not be written: " + err.Error()
 	}
@@ -63,7 +66,7 @@
 	ctx, cancel := context.WithTimeout(g.set.ctx, disclaimTimeout)
 	defer cancel()
 	claim := m.claim
-	claim.Term = 0
+	claim.Phase = citronusher.ClaimFree
 	if _, err := g.set.config.Store.WriteClaim(ctx, g.name, m.claim.Version, claim); err != nil {
 		events.Log(g.set.config.Logger, events.PlatformUnavailable, "part", "claims", "error", err)
 	}
--- a/targets/establish.go
+++ b/targets/establish.go
@@ -115,6 +115,8 @@
 	read, err := g.set.config.Store.ReadClaim(ctx, g.name)
 	era := g.set.config.Store.Era()
 	switch {
+	case err == nil && promotion.Superseded(read, term):
+		return claimHeld
 	case err != nil, read.Era != era.Number:
 		return claimUnknown
 	case promotion.Unclaimed(read, era, term):
@@ -155,6 +157,13 @@
 	return true
 }
 
+// leasedTerm returns the term of the lease; false when it is not valid.
+func (g *Group) leasedTerm() (uint64, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lease.Term(), g.primary != "" && g.lease.Valid(g.now())
+}
+
 // recordUnclaimed writes, once in each era of the store, that nobody has replaced the primary, so that daemons without a
 // lease need not hear all replicas. A lease that is valid when each lost claim has ended proves it until the row changes.
 func (g *Group) recordUnclaimed() {
@@ -173,10 +182,11 @@
 		return
 	}
 	if read.Era != era.Number {
-		if !g.Ready() {
+		term, ok := g.leasedTerm()
+		if !ok {
 			return
 		}
-		free := citronusher.Claim{Holder: g.set.holder, Era: era.Number, EndMillis: read.StoreMillis}
+		free := promotion.FreeClaim(read, era, g.set.holder, term)
 		if _, err := store.WriteClaim(ctx, g.name, read.Version, free); err != nil {
 			return
 		}
--- a/targets/promote_test.go
+++ b/targets/promote_test.go
@@ -53,3 +53,25 @@
 		}
 	})
 }
+
+// TestFreedClaimKeepsItsTerm guards against a lease on a primary that was replaced: a later attempt to replace its
+// successor was abandoned, and freed the claim.
+func TestFreedClaimKeepsItsTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform()
+		if err := p.lead("b"); err != nil {
+			t.Fatal(err)
+		}
+		g := p.newDaemon(t, "d1")
+		g.discover()
+		if reason := promoteFor(g); reason != "the primary answers" {
+			t.Fatalf("abandoned: %q", reason)
+		}
+		if claim := g.readClaim(2); claim != claimFree {
+			t.Errorf("the claim on the successor is %d, want %d", claim, claimFree)
+		}
+		if claim := g.readClaim(1); claim != claimHeld {
+			t.Errorf("the claim on the replaced primary is %d, want %d", claim, claimHeld)
+		}
+	})
+}
