A promotion that was not answered may take effect at any time

Cause: after a request for a promotion that was not answered, the old primary came back into use once the claim (4 s) was over: a claimant that found it answering resumed the replicas, and the requests' holder forgot its own. Nothing told other daemons that a promotion had been requested, or of which member.

Change: the holder marks the row as requested, with the member, before it sends the request; without an answer to that write it sends nothing. While the row shows a request for a term, no lease on that term begins and no replica is resumed, by anybody, however much time passes. Whoever claims the group next repeats all steps (pauses, releases, wait, check) and requests the promotion of the same member, so that the earlier request changes nothing when it is carried out late; another member only when the platform refuses that one or it has left the list. The mark goes when a newer term is seen, or when the platform says that the request is not run. A request may be sent within 3 s of the claim instead of 2.2 s, since its effect need not come before the claim's end.

A usual promotion has one more write to the store.

--- a/plan.go
+++ b/plan.go
@@ -104,8 +104,12 @@
 const (
 	// ClaimFree is the phase of a claim whose holder has requested no promotion, and will not.
 	ClaimFree ClaimPhase = "free"
-	// ClaimHeld is the phase of a claim whose holder may be about to replace the primary.
+	// ClaimHeld is the phase of a claim whose holder may be about to replace the primary, and has requested no promotion.
+	// When the claim is replaced, its holder cannot request one any more.
 	ClaimHeld ClaimPhase = "held"
+	// ClaimRequested is the phase of a claim under which, or before which, the promotion of the candidate may have been
+	// requested. It may take effect at any time, also when the claim has ended.
+	ClaimRequested ClaimPhase = "requested"
 )
 
 // Claim is a daemon's exclusive permission to promote a member of a group. It is a row in the store.
@@ -123,6 +127,8 @@
 	Term uint64
 	// Phase is how far the holder may have come.
 	Phase ClaimPhase
+	// Candidate is the member whose promotion may have been requested last, in phase ClaimRequested.
+	Candidate string
 	// EndMillis is when the claim ends, in milliseconds of the store's clock.
 	EndMillis int64
 	// StoreMillis is the store's clock when it responded, in milliseconds.
--- a/promotion/claim.go
+++ b/promotion/claim.go
@@ -9,8 +9,10 @@
 const (
 	// ClaimTTL is how long a claim prevents other daemons from claiming the group.
 	ClaimTTL = 4 * time.Second
-	// requestWindow is how long after the read request for the claim was sent the promotion may be requested.
-	requestWindow = 2200 * time.Millisecond
+	// requestWindow is how long after the read request for the claim was sent the promotion may be requested. It ends
+	// before the claim, so that a claim without a mark that has ended shows that nobody requests a promotion under it any
+	// more.
+	requestWindow = 3 * time.Second
 	// registrationTime is how long the list of instances may lack some that hold leases, after the store returned from an
 	// older copy that lacks them. Those that reach the store register again sooner.
 	registrationTime = 20 * time.Second
@@ -38,10 +40,40 @@
 // NextClaim returns the claim by which self replaces the one that was read from the store in era, to replace the
 // primary of term, or of a later term that the replaced claim names.
 func NextClaim(read citronusher.Claim, era citronusher.StoreEra, self string, term uint64) citronusher.Claim {
-	return citronusher.Claim{
+	next := citronusher.Claim{
 		Holder: self, Era: era.Number, Term: max(term, read.Term), Phase: citronusher.ClaimHeld,
 		EndMillis: read.StoreMillis + ClaimTTL.Milliseconds(),
 	}
+	if Pending(read, next.Term) {
+		next.Phase, next.Candidate = citronusher.ClaimRequested, read.Candidate
+	}
+	return next
+}
+
+// RequestedClaim returns the claim that replaces the holder's own before it requests the member's promotion.
+func RequestedClaim(claim citronusher.Claim, member string) citronusher.Claim {
+	claim.Phase, claim.Candidate = citronusher.ClaimRequested, member
+	return claim
+}
+
+// FreedClaim returns the claim that replaces the holder's own when no promotion may take effect that was requested
+// under it or before it.
+func FreedClaim(claim citronusher.Claim) citronusher.Claim {
+	claim.Phase, claim.Candidate = citronusher.ClaimFree, ""
+	return claim
+}
+
+// Pending reports whether the claim shows that the promotion of a successor to the primary of term may take effect, now
+// or at any later time.
+func Pending(read citronusher.Claim, term uint64) bool {
+	return read.Phase == citronusher.ClaimRequested && read.Term >= term
+}
+
+// Unrequested reports whether the claim that was read from the store in era shows that no promotion of a successor to
+// the primary of term may take effect, once the claim was replaced. One that was not written in that era does not,
+// because the store may have lost a later one.
+func Unrequested(read citronusher.Claim, era citronusher.StoreEra, term uint64) bool {
+	return read.Era == era.Number && !Pending(read, term)
 }
 
 // FreeClaim returns the claim by which self records in era that nobody has replaced the primary of term, in place of
@@ -67,8 +99,8 @@
 	return now >= era.SeenAt.Add(ClaimTTL)
 }
 
-// Ended reports whether the claim ended so long before it was read that a promotion under it had taken effect, or never
-// will, when the statuses were requested that are used with it.
+// Ended reports whether a claim that is not pending ended so long before it was read that nobody could request a
+// promotion under it any more when the statuses were requested that are used with it.
 func Ended(read citronusher.Claim) bool {
 	return read.EndMillis+statusAge.Milliseconds() <= read.StoreMillis
 }
--- a/promotion/claim_test.go
+++ b/promotion/claim_test.go
@@ -8,8 +8,8 @@
 	"citronusher.example/citronusher/promotion"
 )
 
-// TestClaimsExclude checks that another daemon can replace a claim only after its end, and that a promotion that is
-// requested in time takes effect before that. Otherwise two daemons could promote different members.
+// TestClaimsExclude checks that another daemon can replace a claim only after its end, and that a promotion is requested
+// before that. Otherwise two daemons could promote different members.
 func TestClaimsExclude(t *testing.T) {
 	const now = citronusher.Instant(7)
 	era := citronusher.StoreEra{Number: 1, SeenAt: 3}
@@ -28,13 +28,12 @@
 	if !claimable(claim, "d2") {
 		t.Error("d2 may not replace a claim that has ended")
 	}
-	const maxPromotionTime = 1700 * time.Millisecond
 	pausedAt := citronusher.Instant(0).Add(500 * time.Millisecond)
 	if promotion.EarliestRequestAt(pausedAt, false) > promotion.RequestDeadline(0) {
 		t.Error("the leases of daemons that do not respond expire after the request deadline")
 	}
-	if last := promotion.RequestDeadline(0); last.Add(maxPromotionTime) > citronusher.Instant(promotion.ClaimTTL) {
-		t.Errorf("a promotion requested at %v may take effect after the claim's end", last)
+	if last := promotion.RequestDeadline(0); last >= promotion.ClaimDeadline(0) {
+		t.Errorf("a promotion may be requested until %v, when the claim has ended", last)
 	}
 }
 
--- a/promotion/promotion.go
+++ b/promotion/promotion.go
@@ -1,11 +1,13 @@
-// Package promotion decides how a group's primary is replaced: which daemon may do it, when, and which member is promoted.
+// Package promotion decides how a group's primary is replaced: which daemon may do it, when, and which member is
+// promoted.
 //
 // One daemon at a time holds the claim on a group, a row in the platform's store that is written conditionally. The
-// claim's token increases with each claim. When the store has returned from an older copy, claims may be lost; daemons then
-// wait until every lost claim has ended. The holder pauses replication at every replica, so that no lease on the old
-// primary is renewed any more, asks every daemon to release its lease, and waits until the leases of the daemons that did
-// not respond have expired. It requests the promotion early in its claim, so that the promotion has taken effect before
-// another daemon can claim the group. The package does no I/O and starts no goroutines.
+// claim's token increases with each write. When the store has returned from an older copy, claims may be lost; daemons
+// then wait until every lost claim has ended. The holder pauses replication at every replica, so that no lease on the
+// old primary is renewed any more, asks every daemon to release its lease, and waits until the leases of the daemons
+// that did not respond have expired. It shows in the claim which member's promotion it requests before it does: the
+// promotion may take effect at any later time, so that later holders request that of the same member. The package does
+// no I/O and starts no goroutines.
 package promotion
 
 import (
@@ -49,8 +51,8 @@
 }
 
 // EarliestRequestAt returns the earliest time at which a promotion may be requested when the last replica paused
-// replication at pausedAt: at once when every daemon has released its lease, and otherwise when every lease that was renewed
-// before has expired. The promotion may take effect as soon as it is requested.
+// replication at pausedAt: at once when every daemon has released its lease, and otherwise when every lease that was
+// renewed before has expired. The promotion may take effect as soon as it is requested.
 func EarliestRequestAt(pausedAt citronusher.Instant, released bool) citronusher.Instant {
 	if released {
 		return pausedAt
@@ -68,8 +70,8 @@
 	Leaving bool
 }
 
-// ChooseCandidate returns the ID of the member to promote: the one with the latest position, ties broken by the lower ID.
-// Leaving members are considered only when all members are leaving. It returns false when members is empty.
+// ChooseCandidate returns the ID of the member to promote: the one with the latest position, ties broken by the lower
+// ID. Leaving members are considered only when all members are leaving. It returns false when members is empty.
 func ChooseCandidate(members []Member) (string, bool) {
 	var best *Member
 	for i := range members {
--- a/standin/users/group.go
+++ b/standin/users/group.go
@@ -344,11 +344,14 @@
 	return http.StatusNotFound
 }
 
-// promote makes a member the primary of the next term after the promotion delay.
+// promote makes a member the primary of the next term after the promotion delay, unless it is the primary then.
 func (g *Group) promote(m *Member) {
 	time.Sleep(g.platform.options.Promotion)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if m.role == rolePrimary {
+		return
+	}
 	highest := uint64(0)
 	for _, other := range g.members {
 		highest = max(highest, other.term)
--- a/targets/claim.go
+++ b/targets/claim.go
@@ -32,8 +32,9 @@
 	if m.claim, err = g.set.config.Store.WriteClaim(ctx, g.name, read.Version, next); err != nil {
 		return "the claim could not be written: " + err.Error()
 	}
+	m.found = m.claim
 	m.requestDeadline, m.claimDeadline = promotion.RequestDeadline(sentAt), promotion.ClaimDeadline(sentAt)
-	m.wasFree = promotion.Unclaimed(read, era, m.term)
+	m.unrequested = promotion.Unrequested(read, era, m.term)
 	listedAt := g.now()
 	members, err := g.set.config.Store.Members(ctx)
 	if err != nil {
@@ -56,27 +57,39 @@
 	return "a claim that the store may have lost is valid for up to " + wait.Round(time.Millisecond).String()
 }
 
-// disclaim records in the claim that no promotion was requested under it, so that it does not keep daemons from establishing
-// leases on the primary. It does nothing if a promotion may have been requested, under this claim or an earlier one.
+// markRequest shows in the claim that the candidate's promotion may have been requested, before it is. Without an
+// answer nothing is requested: the mark may come too late, when another instance has replaced the claim.
+func (m *promotionAttempt) markRequest(ctx context.Context, candidate string) string {
+	if m.group.now() > m.requestDeadline {
+		return "the claim is too old to request a promotion"
+	}
+	if m.claim.Phase == citronusher.ClaimRequested && m.claim.Candidate == candidate {
+		return ""
+	}
+	next := promotion.RequestedClaim(m.claim, candidate)
+	marked, err := m.group.set.config.Store.WriteClaim(ctx, m.group.name, m.claim.Version, next)
+	if err != nil {
+		return "the request could not be shown in the claim: " + err.Error()
+	}
+	m.claim = marked
+	return ""
+}
+
+// disclaim removes from the claim what this attempt has not done: it is free again if no promotion may take effect that
+// was requested under it or before, so that it does not keep daemons from establishing leases on the primary. It does
+// nothing if this attempt may have requested a promotion.
 func (m *promotionAttempt) disclaim() {
-	if m.requested || !m.wasFree || m.claim.Version == 0 {
+	left := promotion.FreedClaim(m.claim)
+	if !m.unrequested {
+		left.Phase, left.Candidate = m.found.Phase, m.found.Candidate
+	}
+	if m.requested || left == m.claim {
 		return
 	}
 	g := m.group
 	ctx, cancel := context.WithTimeout(g.set.ctx, disclaimTimeout)
 	defer cancel()
-	claim := m.claim
-	claim.Phase = citronusher.ClaimFree
-	if _, err := g.set.config.Store.WriteClaim(ctx, g.name, m.claim.Version, claim); err != nil {
+	if _, err := g.set.config.Store.WriteClaim(ctx, g.name, m.claim.Version, left); err != nil {
 		events.Log(g.set.config.Logger, events.PlatformUnavailable, "part", "claims", "error", err)
 	}
 }
-
-// setUnconfirmed sets until when a promotion that this instance requested may take effect, and returns the earlier value.
-func (g *Group) setUnconfirmed(until citronusher.Instant) citronusher.Instant {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	earlier := g.unconfirmedUntil
-	g.unconfirmedUntil = until
-	return earlier
-}
--- a/targets/establish.go
+++ b/targets/establish.go
@@ -30,7 +30,7 @@
 	claimUnknown claimState = iota
 	// claimFree means that nobody could promote a successor so far.
 	claimFree
-	// claimHeld means that a promotion may be about to take effect.
+	// claimHeld means that a promotion may take effect, or has taken effect.
 	claimHeld
 )
 
@@ -115,6 +115,9 @@
 	read, err := g.set.config.Store.ReadClaim(ctx, g.name)
 	era := g.set.config.Store.Era()
 	switch {
+	case err == nil && promotion.Pending(read, term):
+		g.reportPending()
+		return claimHeld
 	case err == nil && promotion.Superseded(read, term):
 		return claimHeld
 	case err != nil, read.Era != era.Number:
@@ -128,6 +131,14 @@
 	}
 }
 
+// reportPending records that the primary is unavailable because a promotion of another member may take effect, so that the
+// promotion is requested again when the claim on the group has ended.
+func (g *Group) reportPending() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.markUnavailable(g.now(), false)
+}
+
 // establishFrom establishes the lease from reports that do not renew it, and reports whether they and the claim on the group
 // suffice.
 func (g *Group) establishFrom(replies []memberReply) bool {
--- a/targets/fakes_test.go
+++ b/targets/fakes_test.go
@@ -45,7 +45,7 @@
 }
 
 // newFakePlatform returns a platform with a primary a and replicas b and c of term 1, of which b has received more, and with
-// daemon d1.
+// daemon d1. The group is recorded as free.
 func newFakePlatform() *fakePlatform {
 	p := &fakePlatform{startedAt: time.Now(), era: 1, members: map[string]*fakeMember{}, releases: map[string]error{}}
 	for i, id := range []string{"a", "b", "c"} {
@@ -54,6 +54,7 @@
 		}}
 	}
 	p.members["a"].status.Role = citronusher.RolePrimary
+	p.claim = citronusher.Claim{Era: 1, Version: 1, Phase: citronusher.ClaimFree}
 	p.instances = []citronusher.Instance{instance("d1")}
 	p.promote = p.lead
 	return p
@@ -75,10 +76,11 @@
 	return nil
 }
 
-func (p *fakePlatform) setDown(id string, down bool) {
+// setPrimaryDown sets whether member a, the primary at first, answers.
+func (p *fakePlatform) setPrimaryDown(down bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.members[id].down = down
+	p.members["a"].down = down
 }
 
 // requests returns the requests for promotions so far.
--- a/targets/group.go
+++ b/targets/group.go
@@ -41,7 +41,6 @@
 	expectedBackAt      citronusher.Instant // when an unavailable primary is expected to be replaced
 	promoting           bool                // this instance is carrying out a promotion
 	earliestPromotionAt citronusher.Instant // earliest time of the next promotion
-	unconfirmedUntil    citronusher.Instant // until when a promotion requested by this instance may take effect; 0 without
 	recordedEra         uint64              // era of the store in which the group was found claimed, or recorded as free
 	highestTerm         uint64              // highest term reported by any member
 	home                bool                // this instance is one of the group's homes
--- a/targets/pause.go
+++ b/targets/pause.go
@@ -147,13 +147,10 @@
 	return ""
 }
 
-// mayResume reports whether replication may be resumed: no promotion that this instance requested may take effect any
-// more, and no other instance can have paused the members for another one.
+// mayResume reports whether replication may be resumed: no promotion may take effect any more, and no other instance
+// can have paused the members for another one.
 func (m *promotionAttempt) mayResume() bool {
-	m.group.mu.Lock()
-	defer m.group.mu.Unlock()
-	now := m.group.now()
-	return now >= m.group.unconfirmedUntil && now.Add(memberTimeout) < m.claimDeadline
+	return m.claim.Phase != citronusher.ClaimRequested && m.group.now().Add(memberTimeout) < m.claimDeadline
 }
 
 // resumeReplication resumes replication at the members where it was paused, if it may. Otherwise the next holder of the
--- a/targets/promote.go
+++ b/targets/promote.go
@@ -1,6 +1,7 @@
 package targets
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -16,6 +17,7 @@
 	promotedCheckInterval   = 40 * time.Millisecond   // between two checks whether the promoted member is the primary
 	promotionDelay          = 300 * time.Millisecond  // delay of the next promotion after one ended
 	claimedDelay            = 1 * time.Second         // the same, if another instance holds the claim
+	unconfirmedDelay        = 1 * time.Second         // the same, if a request was not answered: it may still take effect
 	expectedOutage          = 1800 * time.Millisecond // time in which an unavailable primary is usually replaced
 	replicationCheckWindow  = 150 * time.Millisecond  // in which advancing replicas prove that the primary is running
 	replicationCheckTimeout = 1500 * time.Millisecond // outage after which the replicas' progress is not checked
@@ -31,9 +33,10 @@
 	primary         string // member that is replaced; empty if no primary is known
 	term            uint64 // highest term reported by any member when the attempt began
 	claim           citronusher.Claim
+	found           citronusher.Claim   // the claim before this attempt marked a request in it
 	claimDeadline   citronusher.Instant // until when nobody else can claim the group
-	wasFree         bool                // nobody could promote a successor to the primary before this attempt
-	requested       bool                // the promotion may have been requested
+	unrequested     bool                // no promotion may take effect that was requested before this attempt
+	requested       bool                // a promotion that this attempt requested may take effect
 	requestDeadline citronusher.Instant // until when the promotion may be requested
 	requestedAt     citronusher.Instant // when the promotion was requested last
 	replies         []memberReply       // the members' replies at the beginning
@@ -127,6 +130,10 @@
 		g.adopt(replies)
 		return "a member reports a newer term"
 	}
+	if m.claim.Phase == citronusher.ClaimRequested {
+		m.primary = cmp.Or(m.primary, primaryOf(replies, m.term))
+		return "" // the primary may be replaced at any time, although it answers
+	}
 	if m.planned {
 		return ""
 	}
@@ -167,12 +174,12 @@
 		m.resumeReplication()
 		replies = m.group.queryAll(requestStatus)
 	}
-	claim := claimUnknown // an earlier one, which has ended
-	if m.wasFree {
+	claim := claimUnknown // the store may have lost one
+	if m.unrequested {
 		claim = claimFree
 	}
 	if m.group.adoptWith(replies, claim) {
-		m.wasFree = m.wasFree || m.group.Ready()
+		m.unrequested = m.unrequested || m.group.Ready()
 	}
 }
 
@@ -191,6 +198,16 @@
 	return term, isPrimary
 }
 
+// primaryOf returns the member that reports to be the primary of the term; "" without one.
+func primaryOf(replies []memberReply, term uint64) string {
+	for _, r := range replies {
+		if r.err == nil && r.status.Role == citronusher.RolePrimary && r.status.Term == term {
+			return r.id
+		}
+	}
+	return ""
+}
+
 func latestReplicaPosition(replies []memberReply) citronusher.Position {
 	var position citronusher.Position
 	for _, r := range replies {
--- a/targets/promote_test.go
+++ b/targets/promote_test.go
@@ -1,6 +1,7 @@
 package targets
 
 import (
+	"errors"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -19,7 +20,7 @@
 		p.releases["d2"] = citronusher.ErrRefused
 		g := p.newDaemon(t, "d1")
 		g.discover()
-		p.setDown("a", true)
+		p.setPrimaryDown(true)
 		if reason := promoteFor(g); reason != "" {
 			t.Fatalf("abandoned: %s", reason)
 		}
@@ -39,7 +40,7 @@
 		p.releases["d2"] = citronusher.ErrUnavailable
 		g := p.newDaemon(t, "d1")
 		g.discover()
-		p.setDown("a", true)
+		p.setPrimaryDown(true)
 		p.onRelease = func() {
 			time.AfterFunc(time.Second, func() {
 				p.mu.Lock()
@@ -75,3 +76,148 @@
 		}
 	})
 }
+
+// loseAnswer makes a platform that has a primary a, which was away for a moment, keep the promotion of b that daemon d1
+// requested: it is not answered, and may take effect at any time. Daemon d1 then ends.
+func loseAnswer(t *testing.T, p *fakePlatform) {
+	t.Helper()
+	g := p.newDaemon(t, "d1")
+	g.discover()
+	p.setPrimaryDown(true)
+	p.promote = func(string) error { return citronusher.ErrUnavailable }
+	if reason := promoteFor(g); !strings.Contains(reason, "was not confirmed") {
+		t.Fatalf("abandoned: %q", reason)
+	}
+	p.promote = p.lead
+	p.setPrimaryDown(false)
+}
+
+// TestUnansweredRequestIsRepeated guards against the use of the old primary, which answers again, beside the member
+// whose promotion takes effect long after its request, when the claim of its holder has ended.
+func TestUnansweredRequestIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform()
+		loseAnswer(t, p)
+		time.Sleep(time.Minute)
+		g := p.newDaemon(t, "d2")
+		g.discover()
+		if g.Ready() || g.readClaim(1) != claimHeld {
+			t.Errorf("a lease on the old primary may begin: the claim is %d", g.readClaim(1))
+		}
+		if reason := promoteFor(g); reason != "" {
+			t.Errorf("abandoned: %s", reason)
+		}
+		requests := p.requests()
+		if len(requests) != 2 || requests[1].member != "b" || requests[1].token <= requests[0].token {
+			t.Fatalf("requests %v, want b twice under rising tokens", requests)
+		}
+		for _, r := range requests {
+			if r.claim.Phase != citronusher.ClaimRequested || r.claim.Candidate != r.member || r.claim.Token != r.token {
+				t.Errorf("%s was requested under the claim %+v", r, r.claim)
+			}
+		}
+		if !g.Ready() || g.primary != "b" {
+			t.Errorf("primary %q, ready %t", g.primary, g.Ready())
+		}
+	})
+}
+
+// TestPendingRequestOutlastsForgottenPauses guards against a lease on the old primary that begins although a promotion
+// may take effect: the replicas have forgotten that they were paused.
+func TestPendingRequestOutlastsForgottenPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform()
+		loseAnswer(t, p)
+		for _, m := range p.members {
+			m.status.PausedTerm = 0
+		}
+		time.Sleep(time.Minute)
+		g := p.newDaemon(t, "d2")
+		g.discover()
+		g.renewFromReplicas()
+		if g.Ready() {
+			t.Error("the old primary is used")
+		}
+		if g.unavailableSince == 0 {
+			t.Error("nobody requests the promotion again")
+		}
+	})
+}
+
+// TestAnotherMemberIsPromoted checks when another member is promoted than the one whose promotion was requested without
+// an answer: when the platform refuses that one, or it is no member any more.
+func TestAnotherMemberIsPromoted(t *testing.T) {
+	refuse := func(p *fakePlatform) {
+		p.promote = func(member string) error {
+			if member == "b" {
+				return errors.Join(citronusher.ErrConflict, citronusher.ErrNotRun)
+			}
+			return p.lead(member)
+		}
+	}
+	remove := func(p *fakePlatform) { delete(p.members, "b") }
+	for name, change := range map[string]func(*fakePlatform){"refused": refuse, "removed": remove} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newFakePlatform()
+				loseAnswer(t, p)
+				time.Sleep(time.Minute)
+				change(p)
+				g := p.newDaemon(t, "d2")
+				g.discover()
+				if reason := promoteFor(g); reason != "" {
+					t.Fatalf("abandoned: %s", reason)
+				}
+				requests := p.requests()
+				if last := requests[len(requests)-1]; last.member != "c" || last.claim.Candidate != "c" {
+					t.Errorf("requests %v", requests)
+				}
+			})
+		})
+	}
+}
+
+// TestRequestIsShownFirst guards against a promotion that no claim shows: without an answer to the write of the mark
+// nothing is requested, and the replicas are resumed.
+func TestRequestIsShownFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform()
+		g := p.newDaemon(t, "d1")
+		g.discover()
+		p.setPrimaryDown(true)
+		p.onWrite = func(claim citronusher.Claim) error {
+			if claim.Phase == citronusher.ClaimRequested {
+				return citronusher.ErrUnavailable
+			}
+			return nil
+		}
+		reason := promoteFor(g)
+		if len(p.requests()) > 0 || p.members["b"].status.PausedTerm != 0 {
+			t.Errorf("requests %v, b paused under term %d, %q", p.requests(), p.members["b"].status.PausedTerm, reason)
+		}
+		if p.claim.Phase != citronusher.ClaimFree {
+			t.Errorf("the claim is %s", p.claim.Phase)
+		}
+	})
+}
+
+// TestRequestThatWasNotRunIsForgotten guards against a primary that stays unused, and is replaced, although the
+// platform has refused the promotion.
+func TestRequestThatWasNotRunIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform()
+		g := p.newDaemon(t, "d1")
+		g.discover()
+		p.setPrimaryDown(true)
+		p.promote = func(string) error { return errors.Join(citronusher.ErrUnavailable, citronusher.ErrNotRun) }
+		promoteFor(g)
+		if p.claim.Phase != citronusher.ClaimFree {
+			t.Fatalf("the claim is %s", p.claim.Phase)
+		}
+		p.setPrimaryDown(false)
+		time.Sleep(time.Second)
+		if reason := promoteFor(g); reason != "the primary answers" || !g.Ready() {
+			t.Errorf("abandoned %q, ready %t", reason, g.Ready())
+		}
+	})
+}
--- a/targets/request.go
+++ b/targets/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"citronusher.example/citronusher"
@@ -10,18 +11,10 @@
 	"citronusher.example/citronusher/promotion"
 )
 
-// requestPromotion promotes the member with the longest log and waits until it is the primary. If not every instance
-// released its lease, it first waits until the leases have expired.
+// requestPromotion promotes a member and waits until it is the primary. If not every instance released its lease, it
+// first waits until the leases have expired.
 func (m *promotionAttempt) requestPromotion(ctx context.Context) string {
 	g := m.group
-	list := make([]promotion.Member, 0, len(m.paused))
-	for _, r := range m.paused {
-		list = append(list, promotion.Member{ID: r.id, Position: r.status.Position, Leaving: r.leaving})
-	}
-	candidate, ok := promotion.ChooseCandidate(list)
-	if !ok {
-		return "no member can be promoted"
-	}
 	pausedAt := g.now()
 	m.released = m.releaseLeases(ctx)
 	if wait := promotion.EarliestRequestAt(pausedAt, m.released).Sub(g.now()); wait > 0 {
@@ -31,38 +24,59 @@
 		m.resumeReplication()
 		return reason
 	}
-	if g.now() > m.requestDeadline {
-		m.resumeReplication()
-		return "the claim is too old to request a promotion"
+	for {
+		candidate, ok := m.chooseCandidate()
+		if !ok {
+			return "no member can be promoted"
+		}
+		if reason := m.markRequest(ctx, candidate); reason != "" {
+			m.resumeReplication()
+			return reason
+		}
+		err := m.sendRequest(ctx, candidate)
+		if err == nil {
+			return m.awaitPrimary(ctx, candidate)
+		}
+		if m.unrequested || !errors.Is(err, citronusher.ErrConflict) {
+			return "the promotion of " + candidate + " was not confirmed: " + err.Error()
+		}
+		m.paused = slices.DeleteFunc(m.paused, func(r memberReply) bool { return r.id == candidate })
 	}
-	return m.promote(ctx, candidate)
 }
 
-// promote sends the request for the candidate's promotion and waits until the candidate is the primary.
-func (m *promotionAttempt) promote(ctx context.Context, candidate string) string {
+// chooseCandidate returns the paused member to promote: the one whose promotion may take effect already, so that an
+// earlier request changes nothing when it is performed late, and otherwise the one with the longest log.
+func (m *promotionAttempt) chooseCandidate() (string, bool) {
+	list := make([]promotion.Member, 0, len(m.paused))
+	for _, r := range m.paused {
+		if m.claim.Phase == citronusher.ClaimRequested && r.id == m.claim.Candidate {
+			return r.id, true
+		}
+		list = append(list, promotion.Member{ID: r.id, Position: r.status.Position, Leaving: r.leaving})
+	}
+	return promotion.ChooseCandidate(list)
+}
+
+// sendRequest requests the candidate's promotion. Its errors are those of Promote.
+func (m *promotionAttempt) sendRequest(ctx context.Context, candidate string) error {
 	g := m.group
-	m.requested = true
-	earlier := g.setUnconfirmed(m.claimDeadline)
-	m.requestedAt = g.now()
+	m.requested, m.requestedAt = true, g.now()
 	events.Log(g.set.config.Logger, events.PromotionRequested, "group", g.name, "member", candidate, "term", m.term,
-		"token", m.claim.Token)
+		"token", m.claim.Token, "again", m.found.Phase == citronusher.ClaimRequested)
 	err := g.set.config.Promoter.Promote(ctx, m.requestDeadline, g.name, candidate, m.claim)
-	notRun := errors.Is(err, citronusher.ErrNotRun)
+	m.requested = !errors.Is(err, citronusher.ErrNotRun)
 	if err != nil {
 		events.Log(g.set.config.Logger, events.PromotionUnconfirmed, "group", g.name, "member", candidate, "token", m.claim.Token,
-			"age", m.requestAge(), "run", !notRun, "error", err)
-	}
-	if notRun {
-		m.requested = false
-		g.setUnconfirmed(earlier)
-	}
-	if err != nil {
-		return "the promotion of " + candidate + " was not confirmed: " + err.Error()
+			"age", m.requestAge(), "run", m.requested, "error", err)
+		if m.requested {
+			m.nextDelay = unconfirmedDelay
+		}
+		return err
 	}
 	g.set.config.Meter.Promotions().Inc(1)
 	events.Log(g.set.config.Logger, events.PromotionAccepted, "group", g.name, "member", candidate, "token", m.claim.Token,
 		"age", m.requestAge())
-	return m.awaitPrimary(ctx, candidate)
+	return nil
 }
 
 // requestAge returns the time since the promotion was requested, in milliseconds.
@@ -90,7 +104,6 @@
 		time.Sleep(promotedCheckInterval)
 		r := g.query(next, memberTimeout, requestStatus)
 		if r.err == nil && r.status.Role == citronusher.RolePrimary {
-			g.setUnconfirmed(0)
 			events.Log(g.set.config.Logger, events.Promoted, "group", g.name, "member", candidate, "term", r.status.Term,
 				"token", m.claim.Token, "age", m.requestAge())
 			m.adoptPromoted()
@@ -102,8 +115,8 @@
 	return "member " + candidate + " has not become the primary yet"
 }
 
-// awaitLease adopts the promoted member again until a replica has reported its term, which begins a lease. After the claim
-// that would need the reports of all replicas, and one of them may be down.
+// awaitLease adopts the promoted member again until a replica has reported its term, which begins a lease. After the
+// claim that would need the reports of all replicas, and one of them may be down.
 func (m *promotionAttempt) awaitLease(ctx context.Context) {
 	g := m.group
 	for !g.Ready() && g.now() < m.claimDeadline && ctx.Err() == nil {
