--- a/promotion/claim.go
+++ b/promotion/claim.go
@@ -9,8 +9,10 @@
 const (
 	// ClaimTTL is how long a claim prevents other daemons from claiming the group.
 	ClaimTTL = 4 * time.Second
-	// requestWindow is how long after the read request for the claim was sent the promotion may be requested.
-	requestWindow = 2200 * time.Millisecond
+	// requestWindow is how long after the read request for the claim was sent the promotion may be requested. It ends
+	// before the claim, so that a claim without a mark that has ended shows that nobody requests a promotion under it any
+	// more.
+	requestWindow = 3 * time.Second
 	// registrationTime is how long the list of instances may lack some that hold leases, after the store returned from an
 	// older copy that lacks them. Those that reach the store register again sooner.
 	registrationTime = 20 * time.Second
@@ -18,9 +20,10 @@
 	statusAge = 1 * time.Second
 )
 
-// ClaimableAt returns the earliest time at which self may replace the claim that was read from the store in era: at once
-// when self holds it or it has ended by the store's clock. A claim that was not written in that era, or no claim, does not
-// show which claims the store lost before the era. The last of them ends at most ClaimTTL after the era was seen.
+// ClaimableAt returns the earliest time at which self may replace the claim that was read from the store in era: at
+// once when self holds it or it has ended by the store's clock. A claim that was not written in that era, or no claim,
+// does not show which claims the store lost before the era. The last of them ends at most ClaimTTL after the era was
+// seen.
 func ClaimableAt(
 	read citronusher.Claim, era citronusher.StoreEra, self string, now citronusher.Instant,
 ) citronusher.Instant {
@@ -34,45 +37,88 @@
 	}
 }
 
-// NextClaim returns the claim by which self replaces the one that was read from the store in era, to replace the primary of
-// term.
+// NextClaim returns the claim by which self replaces the one that was read from the store in era, to replace the
+// primary of term, or of a later term that the replaced claim names.
 func NextClaim(read citronusher.Claim, era citronusher.StoreEra, self string, term uint64) citronusher.Claim {
+	next := citronusher.Claim{
+		Holder: self, Era: era.Number, Term: max(term, read.Term), Phase: citronusher.ClaimHeld,
+		EndMillis: read.StoreMillis + ClaimTTL.Milliseconds(),
+	}
+	if Pending(read, next.Term) {
+		next.Phase, next.Candidate = citronusher.ClaimRequested, read.Candidate
+	}
+	return next
+}
+
+// RequestedClaim returns the claim that replaces the holder's own before it requests the member's promotion.
+func RequestedClaim(claim citronusher.Claim, member string) citronusher.Claim {
+	claim.Phase, claim.Candidate = citronusher.ClaimRequested, member
+	return claim
+}
+
+// FreedClaim returns the claim that replaces the holder's own when no promotion may take effect that was requested
+// under it or before it.
+func FreedClaim(claim citronusher.Claim) citronusher.Claim {
+	claim.Phase, claim.Candidate = citronusher.ClaimFree, ""
+	return claim
+}
+
+// Pending reports whether the claim shows that the promotion of a successor to the primary of term may take effect, now
+// or at any later time.
+func Pending(read citronusher.Claim, term uint64) bool {
+	return read.Phase == citronusher.ClaimRequested && read.Term >= term
+}
+
+// Unrequested reports whether the claim that was read from the store in era shows that no promotion of a successor to
+// the primary of term may take effect, once the claim was replaced. One that was not written in that era does not,
+// because the store may have lost a later one.
+func Unrequested(read citronusher.Claim, era citronusher.StoreEra, term uint64) bool {
+	return read.Era == era.Number && !Pending(read, term)
+}
+
+// FreeClaim returns the claim by which self records in era that nobody has replaced the primary of term, in place of
+// the one that was read.
+func FreeClaim(read citronusher.Claim, era citronusher.StoreEra, self string, term uint64) citronusher.Claim {
 	return citronusher.Claim{
-		Holder: self, Era: era.Number, Term: term, EndMillis: read.StoreMillis + ClaimTTL.Milliseconds(),
+		Holder: self, Era: era.Number, Term: max(term, read.Term), Phase: citronusher.ClaimFree, EndMillis: read.StoreMillis,
 	}
 }
 
-// Unclaimed reports whether the claim that was read from the store in era shows that, up to then, nobody could replace the
-// primary of term. One that was not written in that era does not, because the store may have lost a later one.
+// Unclaimed reports whether the claim that was read from the store in era shows that, up to then, nobody could replace
+// the primary of term. One that was not written in that era does not, because the store may have lost a later one.
 func Unclaimed(read citronusher.Claim, era citronusher.StoreEra, term uint64) bool {
-	return read.Era == era.Number && read.Term < term
+	free := read.Term < term || read.Term == term && read.Phase == citronusher.ClaimFree
+	return read.Era == era.Number && free
 }
 
+// Superseded reports whether the claim shows that the primary of term has been replaced.
+func Superseded(read citronusher.Claim, term uint64) bool { return read.Term > term }
+
 // Settled reports whether each claim that the store lost before era has ended.
 func Settled(era citronusher.StoreEra, now citronusher.Instant) bool {
 	return now >= era.SeenAt.Add(ClaimTTL)
 }
 
-// Ended reports whether the claim ended so long before it was read that a promotion under it had taken effect, or never
-// will, when the statuses were requested that are used with it.
+// Ended reports whether a claim that is not pending ended so long before it was read that nobody could request a
+// promotion under it any more when the statuses were requested that are used with it.
 func Ended(read citronusher.Claim) bool {
 	return read.EndMillis+statusAge.Milliseconds() <= read.StoreMillis
 }
 
-// ClaimDeadline returns the time until which nobody else can claim the group, when the read request for the claim was sent
-// at requestedAt.
+// ClaimDeadline returns the time until which nobody else can claim the group, when the read request for the claim was
+// sent at requestedAt.
 func ClaimDeadline(requestedAt citronusher.Instant) citronusher.Instant {
 	return requestedAt.Add(ClaimTTL)
 }
 
-// RequestDeadline returns the time until which a daemon may request a promotion under a claim, when the read request for the
-// claim was sent at requestedAt.
+// RequestDeadline returns the time until which a daemon may request a promotion under a claim, when the read request
+// for the claim was sent at requestedAt.
 func RequestDeadline(requestedAt citronusher.Instant) citronusher.Instant {
 	return requestedAt.Add(requestWindow)
 }
 
-// ListComplete reports whether the list of instances that is read from the store in era names every daemon that may hold a
-// lease, for the holder of claim.
+// ListComplete reports whether the list of instances that is read from the store in era names every daemon that may
+// hold a lease, for the holder of claim.
 func ListComplete(claim citronusher.Claim, era citronusher.StoreEra, now citronusher.Instant) bool {
 	return claim.Era == era.Number && (!era.Restored || now >= era.SeenAt.Add(registrationTime))
 }
--- a/standin/users/group.go
+++ b/standin/users/group.go
@@ -386,6 +386,9 @@
 	m.lockRunning()
 	defer g.mu.Unlock()
 	g.pending--
+	if m.role == rolePrimary {
+		return
+	}
 	highest := uint64(0)
 	for _, other := range g.members {
 		highest = max(highest, other.term)
--- a/targets/promote.go
+++ b/targets/promote.go
@@ -1,12 +1,10 @@
 package targets
 
 import (
+	"cmp"
 	"context"
-	"errors"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"citronusher.example/citronusher"
 	"citronusher.example/citronusher/events"
 	"citronusher.example/citronusher/promotion"
@@ -14,12 +12,12 @@
 
 const (
 	promotionTimeout        = 4 * time.Second         // timeout of a whole promotion
-	releaseTimeout          = 300 * time.Millisecond  // timeout of the requests to other instances to release their leases
 	catchUpTimeout          = 400 * time.Millisecond  // timeout for a replica to receive the whole log of a demoted primary
 	catchUpInterval         = 15 * time.Millisecond   // between two checks whether a replica has caught up
 	promotedCheckInterval   = 40 * time.Millisecond   // between two checks whether the promoted member is the primary
 	promotionDelay          = 300 * time.Millisecond  // delay of the next promotion after one ended
 	claimedDelay            = 1 * time.Second         // the same, if another instance holds the claim
+	unconfirmedDelay        = 1 * time.Second         // the same, if a request was not answered: it may still take effect
 	expectedOutage          = 1800 * time.Millisecond // time in which an unavailable primary is usually replaced
 	replicationCheckWindow  = 150 * time.Millisecond  // in which advancing replicas prove that the primary is running
 	replicationCheckTimeout = 1500 * time.Millisecond // outage after which the replicas' progress is not checked
@@ -35,12 +33,15 @@
 	primary         string // member that is replaced; empty if no primary is known
 	term            uint64 // highest term reported by any member when the attempt began
 	claim           citronusher.Claim
+	found           citronusher.Claim   // the claim before this attempt marked a request in it
 	claimDeadline   citronusher.Instant // until when nobody else can claim the group
-	wasFree         bool                // nobody could promote a successor to the primary before this attempt
-	requested       bool                // the promotion may have been requested
+	unrequested     bool                // no promotion may take effect that was requested before this attempt
+	requested       bool                // a promotion that this attempt requested may take effect
 	requestDeadline citronusher.Instant // until when the promotion may be requested
+	requestedAt     citronusher.Instant // when the promotion was requested last
 	replies         []memberReply       // the members' replies at the beginning
 	paused          []memberReply       // replies of the replicas whose replication is paused
+	released        bool                // every instance has released its lease
 	nextDelay       time.Duration       // delay before this instance begins another attempt
 	claimWait       time.Duration       // until a claim that the store may have lost has ended
 	claimedByOther  bool                // another instance holds the claim, or has held one that the store may have lost
@@ -129,6 +130,10 @@
 		g.adopt(replies)
 		return "a member reports a newer term"
 	}
+	if m.claim.Phase == citronusher.ClaimRequested {
+		m.primary = cmp.Or(m.primary, primaryOf(replies, m.term))
+		return "" // the primary may be replaced at any time, although it answers
+	}
 	if m.planned {
 		return ""
 	}
@@ -169,12 +174,12 @@
 		m.resumeReplication()
 		replies = m.group.queryAll(requestStatus)
 	}
-	claim := claimUnknown // an earlier one, which has ended
-	if m.wasFree {
+	claim := claimUnknown // the store may have lost one
+	if m.unrequested {
 		claim = claimFree
 	}
 	if m.group.adoptWith(replies, claim) {
-		m.wasFree = m.wasFree || m.group.Ready()
+		m.unrequested = m.unrequested || m.group.Ready()
 	}
 }
 
@@ -193,6 +198,16 @@
 	return term, isPrimary
 }
 
+// primaryOf returns the member that reports to be the primary of the term; "" without one.
+func primaryOf(replies []memberReply, term uint64) string {
+	for _, r := range replies {
+		if r.err == nil && r.status.Role == citronusher.RolePrimary && r.status.Term == term {
+			return r.id
+		}
+	}
+	return ""
+}
+
 func latestReplicaPosition(replies []memberReply) citronusher.Position {
 	var position citronusher.Position
 	for _, r := range replies {
@@ -231,130 +246,3 @@
 		time.Sleep(catchUpInterval)
 	}
 }
-
-// requestPromotion promotes the member with the longest log and waits until it is the primary. If not every instance
-// released its lease, it first waits until the leases have expired.
-func (m *promotionAttempt) requestPromotion(ctx context.Context) string {
-	g := m.group
-	list := make([]promotion.Member, 0, len(m.paused))
-	for _, r := range m.paused {
-		list = append(list, promotion.Member{ID: r.id, Position: r.status.Position, Leaving: r.leaving})
-	}
-	candidate, ok := promotion.ChooseCandidate(list)
-	if !ok {
-		return "no member can be promoted"
-	}
-	pausedAt := g.now()
-	if reason := m.checkStillPaused(); reason != "" {
-		m.resumeReplication()
-		return reason
-	}
-	if wait := promotion.EarliestRequestAt(pausedAt, m.releaseLeases(ctx)).Sub(g.now()); wait > 0 {
-		time.Sleep(wait)
-	}
-	if g.now() > m.requestDeadline {
-		m.resumeReplication()
-		return "the claim is too old to request a promotion"
-	}
-	m.requested = true
-	earlier := g.setUnconfirmed(m.claimDeadline)
-	if err := g.set.config.Promoter.Promote(ctx, m.requestDeadline, g.name, candidate, m.claim); err != nil {
-		if errors.Is(err, citronusher.ErrNotRun) {
-			m.requested = false
-			g.setUnconfirmed(earlier)
-		}
-		return "the promotion of " + candidate + " was not confirmed: " + err.Error()
-	}
-	g.set.config.Meter.Promotions().Inc(1)
-	events.Log(g.set.config.Logger, events.Promoted, "group", g.name, "member", candidate, "token", m.claim.Token)
-	return m.awaitPrimary(ctx, candidate)
-}
-
-// adoptPromoted adopts the promoted member. While the claim lasts, nobody else can replace it.
-func (m *promotionAttempt) adoptPromoted() {
-	g := m.group
-	replies := g.queryUp(requestStatus)
-	if g.now() < m.claimDeadline {
-		g.adoptWith(replies, claimFree)
-		return
-	}
-	g.adopt(replies)
-}
-
-// releaseLeases requests that every instance releases its lease for the primary and reports whether all did; it reports
-// false while the store may have lost the registration of some. It reads the instance list after replication was paused: an
-// instance that is not listed can only begin a lease later, and no replica renews that one.
-func (m *promotionAttempt) releaseLeases(ctx context.Context) bool {
-	g := m.group
-	instances, err := g.set.config.Store.Instances(ctx)
-	if err != nil {
-		return false
-	}
-	complete := promotion.ListComplete(m.claim, g.set.config.Store.Era(), g.now())
-	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
-	defer cancel()
-	var tasks errgroup.Group
-	for _, instance := range instances {
-		tasks.Go(func() error {
-			if instance.Name() == g.set.config.Self {
-				g.releaseLease(m.term)
-				return nil
-			}
-			err := g.set.config.Peers.ReleaseLease(ctx, instance, g.name, m.claim, m.term)
-			if errors.Is(err, citronusher.ErrRefused) {
-				return nil // the instance does not run and holds no lease
-			}
-			return err
-		})
-	}
-	if err := tasks.Wait(); err != nil {
-		events.Log(g.set.config.Logger, events.LeaseReleaseFailed, "group", g.name, "term", m.term, "error", err)
-		return false
-	}
-	return complete
-}
-
-// awaitPrimary waits until the promoted member is the primary and adopts it.
-func (m *promotionAttempt) awaitPrimary(ctx context.Context, candidate string) string {
-	g := m.group
-	g.mu.Lock()
-	g.lease.Close()
-	next := g.members[candidate]
-	g.mu.Unlock()
-	for next != nil && ctx.Err() == nil {
-		time.Sleep(promotedCheckInterval)
-		r := g.query(next, memberTimeout, requestStatus)
-		if r.err == nil && r.status.Role == citronusher.RolePrimary {
-			g.setUnconfirmed(0)
-			m.adoptPromoted()
-			m.demoteOld(r.status.Term)
-			m.awaitLease(ctx)
-			return ""
-		}
-	}
-	return "member " + candidate + " has not become the primary yet"
-}
-
-// awaitLease adopts the promoted member again until a replica has reported its term, which begins a lease. After the claim
-// that would need the reports of all replicas, and one of them may be down.
-func (m *promotionAttempt) awaitLease(ctx context.Context) {
-	g := m.group
-	for !g.Ready() && g.now() < m.claimDeadline && ctx.Err() == nil {
-		time.Sleep(promotedCheckInterval)
-		m.adoptPromoted()
-	}
-}
-
-// demoteOld demotes the old primary, if it is reachable, so that it follows the new one at once.
-func (m *promotionAttempt) demoteOld(term uint64) {
-	g := m.group
-	g.mu.Lock()
-	old := g.members[m.primary]
-	reachable := old != nil && m.primary != g.primary && g.now() >= old.downUntil
-	g.mu.Unlock()
-	if reachable {
-		g.query(old, memberTimeout, func(c *pooledConn, deadline citronusher.Instant) (citronusher.MemberStatus, error) {
-			return c.link.Demote(deadline, term)
-		})
-	}
-}
--- a/targets/fake_test.go
+++ b/targets/scripted_test.go
@@ -13,23 +13,23 @@
 	"citronusher.example/citronusher/meter"
 )
 
-// fakeMember is a member whose answers the test sets.
-type fakeMember struct {
+// scriptedMember is a member whose answers the test sets.
+type scriptedMember struct {
 	status citronusher.MemberStatus
 	silent bool                      // it answers no status request
 	run    func() citronusher.Answer // answers a statement
 }
 
-// fakeMembers dials the members of a test by their IDs.
-type fakeMembers map[string]*fakeMember
+// scriptedMembers dials the members of a test by their IDs.
+type scriptedMembers map[string]*scriptedMember
 
-func (f fakeMembers) Dial(_ citronusher.Instant, _, _, id string) (citronusher.MemberConn, error) {
-	return &fakeConn{member: f[id]}, nil
+func (f scriptedMembers) Dial(_ citronusher.Instant, _, _, id string) (citronusher.MemberConn, error) {
+	return &scriptedConn{member: f[id]}, nil
 }
 
-type fakeConn struct{ member *fakeMember }
+type scriptedConn struct{ member *scriptedMember }
 
-func (c *fakeConn) Run(_ citronusher.Instant, commands ...citronusher.Command) ([]citronusher.Answer, error) {
+func (c *scriptedConn) Run(_ citronusher.Instant, commands ...citronusher.Command) ([]citronusher.Answer, error) {
 	answers := make([]citronusher.Answer, len(commands))
 	for i := range answers {
 		answers[i] = c.member.run()
@@ -37,24 +37,24 @@
 	return answers, nil
 }
 
-func (c *fakeConn) Status(citronusher.Instant) (citronusher.MemberStatus, error) {
+func (c *scriptedConn) Status(citronusher.Instant) (citronusher.MemberStatus, error) {
 	if c.member.silent {
 		return citronusher.MemberStatus{}, citronusher.NewNotRun(citronusher.ReasonFull, "busy")
 	}
 	return c.member.status, nil
 }
 
-func (c *fakeConn) PauseReplication(deadline citronusher.Instant, _ uint64) (citronusher.MemberStatus, error) {
+func (c *scriptedConn) PauseReplication(deadline citronusher.Instant, _ uint64) (citronusher.MemberStatus, error) {
 	return c.Status(deadline)
 }
 
-func (c *fakeConn) Demote(deadline citronusher.Instant, _ uint64) (citronusher.MemberStatus, error) {
+func (c *scriptedConn) Demote(deadline citronusher.Instant, _ uint64) (citronusher.MemberStatus, error) {
 	return c.Status(deadline)
 }
 
-func (*fakeConn) ResumeReplication(citronusher.Instant) error { return nil }
-func (*fakeConn) Open() bool                                  { return true }
-func (*fakeConn) Close() error                                { return nil }
+func (*scriptedConn) ResumeReplication(citronusher.Instant) error { return nil }
+func (*scriptedConn) Open() bool                                  { return true }
+func (*scriptedConn) Close() error                                { return nil }
 
 // fakeStore is a store with a claim on the group.
 type fakeStore struct {
@@ -117,7 +117,7 @@
 type fakeGroup struct {
 	set     *Set
 	timer   *fakeTimer
-	members fakeMembers
+	members scriptedMembers
 	store   *fakeStore
 	peers   *fakePeers
 	log     *fakeLog
@@ -126,7 +126,7 @@
 func newFakeGroup(t testing.TB) *fakeGroup {
 	t.Helper()
 	f := &fakeGroup{
-		timer: &fakeTimer{now: citronusher.Instant(0).Add(time.Hour)}, members: fakeMembers{}, store: &fakeStore{},
+		timer: &fakeTimer{now: citronusher.Instant(0).Add(time.Hour)}, members: scriptedMembers{}, store: &fakeStore{},
 		peers: &fakePeers{err: citronusher.ErrNotFound}, log: &fakeLog{},
 	}
 	f.set = New(Config{
@@ -135,7 +135,7 @@
 	})
 	for _, id := range []string{"a", "b", "c"} {
 		status := citronusher.MemberStatus{Role: citronusher.RoleReplica, Term: 1}
-		f.members[id] = &fakeMember{status: status, run: func() citronusher.Answer { return citronusher.Answer{} }}
+		f.members[id] = &scriptedMember{status: status, run: func() citronusher.Answer { return citronusher.Answer{} }}
 	}
 	f.members["a"].status.Role = citronusher.RolePrimary
 	f.set.SetInstances([]citronusher.Instance{citronusher.NewInstance("d2", "127.0.0.1:1", "z", citronusher.InstanceLive)})
