The primary of an earlier term is paused like any replica

Cause: a promotion doesn't pause the primary that it replaces. A daemon that had heard of a newer term, but had not found its primary, took the primary of the earlier term for the one to replace. When it didn't reach that member, which is a replica of the newer term by then, it promoted another one without pausing it: the member went on renewing the leases of other daemons on the newer primary.

Not seen in a run of the daemon.

Change: an attempt names a primary only if that leads the term that it replaces.

--- a/targets/fakes_test.go
+++ b/targets/fakes_test.go
@@ -252,9 +252,7 @@
 	for _, m := range g.members {
 		m.down, m.downUntil = false, 0
 	}
-	m := &promotionAttempt{
-		group: g, primary: g.primary, term: max(g.lease.Term(), g.highestTerm), nextDelay: promotionDelay,
-	}
+	m := g.newAttempt(false)
 	g.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), promotionTimeout)
 	defer cancel()
--- a/targets/promote.go
+++ b/targets/promote.go
@@ -68,10 +68,19 @@
 		return
 	}
 	g.promoting = true
+	g.background(g.newAttempt(planned).run)
+}
+
+// newAttempt returns an attempt to replace the primary of the highest term that any member has reported. The primary of an
+// earlier term is a replica, whose replication has to be paused. The caller holds mu.
+func (g *Group) newAttempt(planned bool) *promotionAttempt {
 	m := &promotionAttempt{
-		group: g, planned: planned, primary: g.primary, term: max(g.lease.Term(), g.highestTerm), nextDelay: promotionDelay,
+		group: g, planned: planned, term: max(g.lease.Term(), g.highestTerm), nextDelay: promotionDelay,
+	}
+	if g.lease.Term() == m.term {
+		m.primary = g.primary
 	}
-	g.background(m.run)
+	return m
 }
 
 // run carries out the promotion, at most for promotionTimeout, and logs the reason if it is abandoned.
--- a/targets/promote_test.go
+++ b/targets/promote_test.go
@@ -221,3 +221,23 @@
 		}
 	})
 }
+
+// TestFormerPrimaryIsPaused guards against a promotion beside leases that a former primary renews, which is a replica
+// now and which only this daemon does not reach: the daemon knows of the newer term, but not of its primary.
+func TestFormerPrimaryIsPaused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform()
+		g := p.newDaemon(t, "d1")
+		g.discover()
+		if err := p.lead("b"); err != nil {
+			t.Fatal(err)
+		}
+		g.highestTerm = 2
+		p.setPrimaryDown(true)
+		g.configure(connectionShare{connections: 16, homes: 6, home: true}, p.reports(), 0)
+		delete(g.members, "b") // delisted for a moment
+		if reason := promoteFor(g); !strings.Contains(reason, "member a could not be paused") {
+			t.Errorf("requests %v, abandoned %q", p.requests(), reason)
+		}
+	})
+}
