--- a/targets/fakes_test.go
+++ b/targets/platform_test.go
@@ -21,7 +21,7 @@
 	mu        sync.Mutex
 	claim     citronusher.Claim
 	era       uint64
-	members   map[string]*fakeMember
+	members   map[string]*platformMember
 	instances []citronusher.Instance
 	releases  map[string]error // result of the request to release the lease, by instance
 	onRelease func()           // runs during each request to release a lease
@@ -38,7 +38,7 @@
 	claim  citronusher.Claim // row of the claim when the request came
 }
 
-type fakeMember struct {
+type platformMember struct {
 	status   citronusher.MemberStatus
 	pausedAt citronusher.Instant
 	down     bool
@@ -47,9 +47,9 @@
 // newFakePlatform returns a platform with a primary a and replicas b and c of term 1, of which b has received more, and with
 // daemon d1. The group is recorded as free.
 func newFakePlatform() *fakePlatform {
-	p := &fakePlatform{startedAt: time.Now(), era: 1, members: map[string]*fakeMember{}, releases: map[string]error{}}
+	p := &fakePlatform{startedAt: time.Now(), era: 1, members: map[string]*platformMember{}, releases: map[string]error{}}
 	for i, id := range []string{"a", "b", "c"} {
-		p.members[id] = &fakeMember{status: citronusher.MemberStatus{
+		p.members[id] = &platformMember{status: citronusher.MemberStatus{
 			Role: citronusher.RoleReplica, Term: 1, Position: citronusher.NewPosition(1, uint64(10-i)), //nolint:gosec // small
 		}}
 	}
@@ -183,21 +183,21 @@
 	if p.members[id] == nil || p.members[id].down {
 		return nil, citronusher.NewNotRun(citronusher.ReasonConnect, "%v", errNoDial)
 	}
-	return &fakeConn{platform: p, member: p.members[id]}, nil
+	return &platformConn{platform: p, member: p.members[id]}, nil
 }
 
-// fakeConn is a connection to a member.
-type fakeConn struct {
+// platformConn is a connection to a member.
+type platformConn struct {
 	citronusher.MemberConn
 	platform *fakePlatform
-	member   *fakeMember
+	member   *platformMember
 }
 
-func (c *fakeConn) Open() bool   { return true }
-func (c *fakeConn) Close() error { return nil }
+func (c *platformConn) Open() bool   { return true }
+func (c *platformConn) Close() error { return nil }
 
 // apply changes the member's status and returns it.
-func (c *fakeConn) apply(change func(*citronusher.MemberStatus)) (citronusher.MemberStatus, error) {
+func (c *platformConn) apply(change func(*citronusher.MemberStatus)) (citronusher.MemberStatus, error) {
 	c.platform.mu.Lock()
 	defer c.platform.mu.Unlock()
 	if c.member.down {
@@ -207,11 +207,11 @@
 	return c.member.status, nil
 }
 
-func (c *fakeConn) Status(citronusher.Instant) (citronusher.MemberStatus, error) {
+func (c *platformConn) Status(citronusher.Instant) (citronusher.MemberStatus, error) {
 	return c.apply(func(*citronusher.MemberStatus) {})
 }
 
-func (c *fakeConn) PauseReplication(_ citronusher.Instant, term uint64) (citronusher.MemberStatus, error) {
+func (c *platformConn) PauseReplication(_ citronusher.Instant, term uint64) (citronusher.MemberStatus, error) {
 	return c.apply(func(s *citronusher.MemberStatus) {
 		if s.Role == citronusher.RoleReplica {
 			s.PausedTerm, c.member.pausedAt = term, c.platform.Instant()
@@ -219,12 +219,12 @@
 	})
 }
 
-func (c *fakeConn) ResumeReplication(citronusher.Instant) error {
+func (c *platformConn) ResumeReplication(citronusher.Instant) error {
 	_, err := c.apply(func(s *citronusher.MemberStatus) { s.PausedTerm = 0 })
 	return err
 }
 
-func (c *fakeConn) Demote(_ citronusher.Instant, term uint64) (citronusher.MemberStatus, error) {
+func (c *platformConn) Demote(_ citronusher.Instant, term uint64) (citronusher.MemberStatus, error) {
 	return c.apply(func(s *citronusher.MemberStatus) {
 		if s.Term < term {
 			s.Role = citronusher.RoleReplica
@@ -242,6 +242,7 @@
 	s.SetRegistered()
 	g := newGroup(s, "g")
 	g.configure(connectionShare{connections: 16, homes: 6, home: true}, p.reports(), 0)
+	time.Sleep(time.Millisecond) // what is requested from now on is later than the group
 	return g
 }
 
