A claim lasts 4 s from its request

Change: the mark of the request extends the claim to 4 s from then. Each request has a mark of its own, so that a repeated one has a token of its own, too. Nobody needs the claim to use the promoted member; a group whose holder died right after a request that was lost waits up to 3 s longer.

--- a/promotion/claim.go
+++ b/promotion/claim.go
@@ -50,9 +50,12 @@
 	return next
 }
 
-// RequestedClaim returns the claim that replaces the holder's own before it requests the member's promotion.
-func RequestedClaim(claim citronusher.Claim, member string) citronusher.Claim {
+// RequestedClaim returns the claim that replaces the holder's own before it requests the member's promotion, when the
+// read request for the claim was sent that long ago. Nobody else can claim the group for ClaimTTL from then on, so that
+// two holders do not take turns.
+func RequestedClaim(claim citronusher.Claim, member string, since time.Duration) citronusher.Claim {
 	claim.Phase, claim.Candidate = citronusher.ClaimRequested, member
+	claim.EndMillis += since.Milliseconds()
 	return claim
 }
 
--- a/targets/claim.go
+++ b/targets/claim.go
@@ -33,6 +33,7 @@
 		return "the claim could not be written: " + err.Error()
 	}
 	m.found = m.claim
+	m.claimReadAt = sentAt
 	m.requestDeadline, m.claimDeadline = promotion.RequestDeadline(sentAt), promotion.ClaimDeadline(sentAt)
 	m.unrequested = promotion.Unrequested(read, era, m.term)
 	listedAt := g.now()
@@ -60,18 +61,16 @@
 // markRequest shows in the claim that the candidate's promotion may have been requested, before it is. Without an
 // answer nothing is requested: the mark may come too late, when another instance has replaced the claim.
 func (m *promotionAttempt) markRequest(ctx context.Context, candidate string) string {
-	if m.group.now() > m.requestDeadline {
+	sentAt := m.group.now()
+	if sentAt > m.requestDeadline {
 		return "the claim is too old to request a promotion"
 	}
-	if m.claim.Phase == citronusher.ClaimRequested && m.claim.Candidate == candidate {
-		return ""
-	}
-	next := promotion.RequestedClaim(m.claim, candidate)
+	next := promotion.RequestedClaim(m.claim, candidate, sentAt.Sub(m.claimReadAt))
 	marked, err := m.group.set.config.Store.WriteClaim(ctx, m.group.name, m.claim.Version, next)
 	if err != nil {
 		return "the request could not be shown in the claim: " + err.Error()
 	}
-	m.claim = marked
+	m.claim, m.claimReadAt, m.claimDeadline = marked, sentAt, promotion.ClaimDeadline(sentAt)
 	return ""
 }
 
--- a/targets/platform_test.go
+++ b/targets/platform_test.go
@@ -36,6 +36,8 @@
 	token  uint64
 	at     citronusher.Instant
 	claim  citronusher.Claim // row of the claim when the request came
+	// storeMillis is the store's clock when the request came.
+	storeMillis int64
 }
 
 type platformMember struct {
@@ -151,7 +153,9 @@
 	_ context.Context, _ citronusher.Instant, _, member string, claim citronusher.Claim,
 ) error {
 	p.mu.Lock()
-	p.promoted = append(p.promoted, fakePromotion{member: member, token: claim.Token, at: p.Instant(), claim: p.claim})
+	p.promoted = append(p.promoted, fakePromotion{
+		member: member, token: claim.Token, at: p.Instant(), claim: p.claim, storeMillis: p.millis(),
+	})
 	p.mu.Unlock()
 	return p.promote(member)
 }
--- a/targets/promote.go
+++ b/targets/promote.go
@@ -34,6 +34,7 @@
 	term            uint64 // highest term reported by any member when the attempt began
 	claim           citronusher.Claim
 	found           citronusher.Claim   // the claim before this attempt marked a request in it
+	claimReadAt     citronusher.Instant // when the request was sent from which the claim's end counts
 	claimDeadline   citronusher.Instant // until when nobody else can claim the group
 	unrequested     bool                // no promotion may take effect that was requested before this attempt
 	requested       bool                // a promotion that this attempt requested may take effect
--- a/targets/promote_test.go
+++ b/targets/promote_test.go
@@ -9,6 +9,7 @@
 
 	"citronusher.example/citronusher"
 	"citronusher.example/citronusher/lease"
+	"citronusher.example/citronusher/promotion"
 )
 
 // TestRefusedDaemonMayHoldALease guards against a promotion beside a lease of a daemon that runs, but whose network
@@ -241,3 +242,23 @@
 		}
 	})
 }
+
+// TestHoldersDoNotTakeTurns guards against promotions that two holders request soon after each other: the claim lasts
+// as long as ever from the request on, although that had to wait for leases.
+func TestHoldersDoNotTakeTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform()
+		p.instances = append(p.instances, instance("d2"))
+		p.releases["d2"] = citronusher.ErrUnavailable
+		g := p.newDaemon(t, "d1")
+		g.discover()
+		p.setPrimaryDown(true)
+		if reason := promoteFor(g); reason != "" {
+			t.Fatalf("abandoned: %s", reason)
+		}
+		r := p.requests()[0]
+		if left := r.claim.EndMillis - r.storeMillis; left < promotion.ClaimTTL.Milliseconds() {
+			t.Errorf("%s was requested %d ms before the end of its claim", r, left)
+		}
+	})
+}
