--- a/targets/promote.go
+++ b/targets/promote.go
@@ -34,6 +34,7 @@
 	term            uint64 // highest term reported by any member when the attempt began
 	claim           citronusher.Claim
 	found           citronusher.Claim   // the claim before this attempt marked a request in it
+	claimReadAt     citronusher.Instant // when the request was sent from which the claim's end counts
 	claimDeadline   citronusher.Instant // until when nobody else can claim the group
 	unrequested     bool                // no promotion may take effect that was requested before this attempt
 	requested       bool                // a promotion that this attempt requested may take effect
@@ -68,10 +69,19 @@
 		return
 	}
 	g.promoting = true
+	g.background(g.newAttempt(planned).run)
+}
+
+// newAttempt returns an attempt to replace the primary of the highest term that any member has reported. The primary of an
+// earlier term is a replica, whose replication has to be paused. The caller holds mu.
+func (g *Group) newAttempt(planned bool) *promotionAttempt {
 	m := &promotionAttempt{
-		group: g, planned: planned, primary: g.primary, term: max(g.lease.Term(), g.highestTerm), nextDelay: promotionDelay,
+		group: g, planned: planned, term: max(g.lease.Term(), g.highestTerm), nextDelay: promotionDelay,
+	}
+	if g.lease.Term() == m.term {
+		m.primary = g.primary
 	}
-	g.background(m.run)
+	return m
 }
 
 // run carries out the promotion, at most for promotionTimeout, and logs the reason if it is abandoned.
--- a/targets/promote_test.go
+++ b/targets/promote_test.go
@@ -9,6 +9,7 @@
 
 	"citronusher.example/citronusher"
 	"citronusher.example/citronusher/lease"
+	"citronusher.example/citronusher/promotion"
 )
 
 // TestRefusedDaemonMayHoldALease guards against a promotion beside a lease of a daemon that runs, but whose network
@@ -221,3 +222,43 @@
 		}
 	})
 }
+
+// TestFormerPrimaryIsPaused guards against a promotion beside leases that a former primary renews, which is a replica
+// now and which only this daemon does not reach: the daemon knows of the newer term, but not of its primary.
+func TestFormerPrimaryIsPaused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform()
+		g := p.newDaemon(t, "d1")
+		g.discover()
+		if err := p.lead("b"); err != nil {
+			t.Fatal(err)
+		}
+		g.highestTerm = 2
+		p.setPrimaryDown(true)
+		g.configure(connectionShare{connections: 16, homes: 6, home: true}, p.reports(), 0)
+		delete(g.members, "b") // delisted for a moment
+		if reason := promoteFor(g); !strings.Contains(reason, "member a could not be paused") {
+			t.Errorf("requests %v, abandoned %q", p.requests(), reason)
+		}
+	})
+}
+
+// TestHoldersDoNotTakeTurns guards against promotions that two holders request soon after each other: the claim lasts
+// as long as ever from the request on, although that had to wait for leases.
+func TestHoldersDoNotTakeTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform()
+		p.instances = append(p.instances, instance("d2"))
+		p.releases["d2"] = citronusher.ErrUnavailable
+		g := p.newDaemon(t, "d1")
+		g.discover()
+		p.setPrimaryDown(true)
+		if reason := promoteFor(g); reason != "" {
+			t.Fatalf("abandoned: %s", reason)
+		}
+		r := p.requests()[0]
+		if left := r.claim.EndMillis - r.storeMillis; left < promotion.ClaimTTL.Milliseconds() {
+			t.Errorf("%s was requested %d ms before the end of its claim", r, left)
+		}
+	})
+}
