gateway: a promoted member that is busy, beside an old primary that answers

The fault that TestSupersededPrimaryIsNotAdopted shows in one daemon, with whole daemons: the promoter adopts the old primary under its own claim. A member can now be told to be busy once it leads and has answered (standin/users, RejectBusyOnceLeading).

--- a/gateway/action_test.go
+++ b/gateway/action_test.go
@@ -105,6 +105,8 @@
 		s.member(fields[1]).FailStatements(s.number(fields[2]))
 	case "busy":
 		s.member(fields[1]).RejectBusy(s.number(fields[2]))
+	case "busy-leader": // once it leads and has answered
+		s.member(fields[1]).RejectBusyOnceLeading(s.number(fields[2]))
 	case "cut":
 		s.member(fields[1]).SetPartitioned(true)
 	case "join":
--- a/standin/users/member.go
+++ b/standin/users/member.go
@@ -38,6 +38,7 @@
 	loseNextAnswer bool // the next answer to a write or commit is lost
 	breakNextConn  bool // the next statement with a slot closes its connection and does not run
 	busyStatements int  // number of next statements that are rejected as busy
+	busyLeading    int  // number of statements that are rejected as busy after the first one as the primary
 	failStatements int  // number of next statements that fail
 	pauses         int  // PAUSE commands received
 	rejectsPause   bool // PAUSE commands are rejected
@@ -128,6 +129,10 @@
 // RejectBusy makes the member reject the next count statements that take a slot with BUSY.
 func (m *Member) RejectBusy(count int) { m.withLock(func() { m.busyStatements = count }) }
 
+// RejectBusyOnceLeading makes the member, once it is the primary and has answered a statement that takes a slot, reject the
+// next count as busy.
+func (m *Member) RejectBusyOnceLeading(count int) { m.withLock(func() { m.busyLeading = count }) }
+
 // Connections returns the number of open connections.
 func (m *Member) Connections() int {
 	m.group.mu.Lock()
--- a/standin/users/session.go
+++ b/standin/users/session.go
@@ -120,6 +120,9 @@
 		m.failStatements--
 		return s.errorAnswer("FAILED"), false
 	}
+	if slotted && m.busyLeading > 0 && m.role == rolePrimary {
+		m.busyStatements, m.busyLeading = m.busyLeading, 0
+	}
 	body, wrote := s.run(id, text)
 	if wrote && m.loseNextAnswer {
 		m.loseNextAnswer = false
