--- a/execute/transaction.go
+++ b/execute/transaction.go
@@ -94,6 +94,9 @@
 	e.countRequest(conn, task.Route)
 	if err != nil {
 		conn.Discard()
+		if errors.Is(err, targets.ErrUnconfirmed) {
+			return leaseEnded(err)
+		}
 		return citronusher.NewNotRun(citronusher.ReasonBroken,
 			"the member connection or its session setup failed before the transaction began")
 	}
