--- a/soak/process.go
+++ b/soak/process.go
@@ -57,7 +57,7 @@
 	minPort         = 10000
 	maxPort         = 30000 // the kernel assigns higher ports to outgoing connections
 	portsPerProcess = 331   // by which the first ports of two runs with consecutive process ids differ
-	maxPortAttempts = 100
+	maxPortAttempts = 2000
 )
 
 // portCount is the number of ports that freePort has tried.
--- a/soak/size.go
+++ b/soak/size.go
@@ -51,6 +51,7 @@
 	replace(&s.platform.Connections, o.Connections)
 	replace(&s.callers, o.Callers)
 	replace(&s.groups, o.Groups)
+	replace(&s.pace, o.Pace)
 	replace(&s.platform.Promotion, o.Promotion)
 	if len(o.Kinds) > 0 {
 		s.kinds = o.Kinds
@@ -98,7 +99,10 @@
 		routes: []route{
 			{name: "fresh", consistency: consistencyPrimary, share: 15, writes: 20, transactions: 40},
 			{name: "stale", consistency: consistencyBounded, share: 15, transactions: 10, maxStaleness: 1500 * time.Millisecond},
-			{name: "own", consistency: consistencyOwn, share: 70, writes: 12, transactions: 12, maxStaleness: 2500 * time.Millisecond},
+			{
+				name: "own", consistency: consistencyOwn, share: 70, writes: 12, transactions: 12,
+				maxStaleness: 2500 * time.Millisecond,
+			},
 		},
 	}
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -44,6 +44,7 @@
 	Kinds       []Kind        `help:"Kinds of faults to draw, separated by commas. Default: those of the size."`
 	Promotion   time.Duration `help:"Time that a promotion takes. Default: that of the size."`
 	Groups      int           `help:"Number of database groups. Default: that of the size."`
+	Pace        time.Duration `help:"Maximum pause of a caller between two operations. Default: that of the size."`
 	Daemons     int           `help:"Number of daemons. Default: that of the size."`
 	Connections int           `help:"Maximum number of connections to each member. Default: that of the size."`
 	Callers     int           `help:"Number of concurrent callers. Default: that of the size."`
@@ -100,13 +101,29 @@
 	violations []string
 }
 
-// RunSeed runs one seed and returns its report. The error wraps ErrViolation when a guarantee was violated.
+// RunSeed runs the faults that a seed draws and returns a report. The error wraps ErrViolation when a guarantee was
+// violated.
 func RunSeed(options Options, seed uint64) (Report, error) {
 	s, err := sizeOf(options)
 	if err != nil {
 		return Report{}, err
 	}
+	random := rand.New(rand.NewPCG(seed, seed)) //nolint:gosec // repeatable by seed
+	return runFaults(options, s, seed, DrawFaults(random, options.Span, s.faultGap, s.daemons, s.groups, s.kinds))
+}
+
+// RunFaults runs given faults, as RunSeed does with those of a seed. The seed determines what callers do.
+func RunFaults(options Options, seed uint64, faults []Fault) (Report, error) {
+	s, err := sizeOf(options)
+	if err != nil {
+		return Report{}, err
+	}
+	return runFaults(options, s, seed, faults)
+}
+
+func runFaults(options Options, s size, seed uint64, faults []Fault) (Report, error) {
 	r := &run{size: s}
+	var err error
 	logs := options.Logs
 	if logs == "" {
 		if logs, err = os.MkdirTemp("", "soak"); err != nil {
@@ -117,8 +134,6 @@
 	if err := r.start(options.Daemon, logs); err != nil {
 		return Report{Logs: logs}, errors.Join(err, r.close())
 	}
-	random := rand.New(rand.NewPCG(seed, seed)) //nolint:gosec // repeatable by seed
-	faults := DrawFaults(random, options.Span, s.faultGap, s.daemons, s.groups, s.kinds)
 	callers := make([]*caller, s.callers)
 	var tasks errgroup.Group
 	for i := range callers {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,14 +20,21 @@
 	529: "a value that a promotion had rolled back counted as held, because its writer had written the next one",
 }
 
-// TestSoak runs a short soak with seed 1 and with every regression seed against race-enabled daemons. It guards against
-// lost, duplicated or misreported writes and stale reads under faults.
-func TestSoak(t *testing.T) {
+// buildDaemon builds the daemon with the race detector and returns its path.
+func buildDaemon(t *testing.T) string {
+	t.Helper()
 	daemon := filepath.Join(t.TempDir(), "citronusherd")
 	build := exec.CommandContext(t.Context(), "go", "build", "-race", "-o", daemon, "../cmd/citronusherd")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
+	return daemon
+}
+
+// TestSoak runs a short soak with seed 1 and with every regression seed against race-enabled daemons. It guards against
+// lost, duplicated or misreported writes and stale reads under faults.
+func TestSoak(t *testing.T) {
+	daemon := buildDaemon(t)
 	seeds := []uint64{1}
 	for seed := range regressions {
 		seeds = append(seeds, seed)
