Prove late commands and reads in transactions with real processes

TestLinearizable froze the primary and a home, but no home within its own promotion, no replica over an election, and its callers never read in a transaction. It gets both faults, and a third of the reads run twice in a transaction that is rolled back. TestLateFence freezes the primary or a replica, sends it a fence of a far newer term, gives up, and lets it go on.

--- a/prove/history_test.go
+++ b/prove/history_test.go
@@ -171,11 +171,40 @@
 		r.history.add(client, op, 0, calledAt, outcomeOf(err))
 		return
 	}
-	var value int
-	err := conn.QueryRow(ctx, "SELECT value FROM register WHERE key = $1", op.key).Scan(&value)
+	if op.value%3 == 0 {
+		r.readInTransaction(ctx, conn, client, op)
+		return
+	}
+	value, err := readRegister(ctx, conn, op.key)
 	r.history.add(client, op, value, calledAt, outcomeOf(err))
 }
 
+func readRegister(ctx context.Context, conn *pgx.Conn, key int) (value int, err error) {
+	err = conn.QueryRow(ctx, "SELECT value FROM register WHERE key = $1", key).Scan(&value)
+	return value, err
+}
+
+// readInTransaction reads a register twice in one transaction, each read being an operation of its own, and rolls back.
+// After a failure it closes the connection.
+func (r *callers) readInTransaction(ctx context.Context, conn *pgx.Conn, client int, op registerOp) {
+	if _, err := conn.Exec(ctx, "BEGIN"); err != nil {
+		_ = conn.Close(ctx)
+		return
+	}
+	for range 2 {
+		calledAt := r.history.now()
+		value, err := readRegister(ctx, conn, op.key)
+		r.history.add(client, op, value, calledAt, outcomeOf(err))
+		if err != nil {
+			_ = conn.Close(ctx)
+			return
+		}
+	}
+	if _, err := conn.Exec(ctx, "ROLLBACK"); err != nil {
+		_ = conn.Close(ctx)
+	}
+}
+
 // stopAndWait stops the callers and waits until they have ended.
 func (r *callers) stopAndWait() {
 	close(r.stop)
--- a/prove/term_test.go
+++ b/prove/term_test.go
@@ -1,11 +1,17 @@
 package prove
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"citronusher.example/citronusher/group"
+	"citronusher.example/citronusher/pg"
 )
 
 // primaryFailures are the failures of the primary, by name, that TestLinearizable injects. After each of them the group can
@@ -33,6 +39,21 @@
 		time.Sleep(4 * time.Second)
 		c.daemons[0].signal(t, syscall.SIGCONT)
 	},
+	"freeze of a promoting home": func(t *testing.T, c *cluster, primary int) {
+		promoter := c.daemons[c.firstHome()]
+		c.members[primary].kill(t)
+		time.Sleep(450 * time.Millisecond) // the first home fences 400 ms after connections are refused
+		promoter.signal(t, syscall.SIGSTOP)
+		time.Sleep(4 * time.Second)
+		promoter.signal(t, syscall.SIGCONT)
+	},
+	"kill with a frozen replica": func(t *testing.T, c *cluster, primary int) {
+		replica := c.members[(primary+1)%len(c.members)]
+		replica.signal(t, syscall.SIGSTOP)
+		c.members[primary].kill(t)
+		time.Sleep(3 * time.Second)
+		replica.signal(t, syscall.SIGCONT)
+	},
 	"platform outage and kill": func(t *testing.T, c *cluster, primary int) {
 		get(c.platformURL("outage=1"))
 		c.members[primary].kill(t)
@@ -85,6 +106,74 @@
 	}
 }
 
+// TestLateFence guards against a group that goes on with a member less, or without a primary: a member is frozen, receives
+// a fence that its sender gives up, and performs it when it goes on. All members must return to one term, and reads and
+// writes must stay right.
+func TestLateFence(t *testing.T) {
+	for name, offset := range map[string]int{"primary": 0, "replica": 1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, clusterOptions{daemons: 3, homes: 3})
+			run := startCallers(c, 6, []int{0, 1, 2}, "strong")
+			run.waitForProgress(50)
+			c.performLate((c.primary()+offset)%len(c.members), "SELECT group_fence(40, 'late')")
+			c.waitFor("one term above the late one", func() bool { return c.commonTerm() > 40 })
+			run.waitForProgress(50)
+			run.stopAndWait()
+			if !run.history.check(t) {
+				t.Error("the history is not linearizable")
+			}
+		})
+	}
+}
+
+// control returns a control connection to member i.
+func (c *cluster) control(i int) *group.Target {
+	return group.New(pg.NewLogin("u", "p", "late", nil), c.members[i].spec.Member.Address, database, clock{})
+}
+
+// performLate freezes member i, sends it a statement, gives up and lets it go on.
+func (c *cluster) performLate(i int, sql string) {
+	ctx, cancel := context.WithTimeout(c.t.Context(), waitTimeout)
+	defer cancel()
+	conn, err := pg.NewLogin("u", "p", "late", nil).Connect(ctx, c.members[i].spec.Member.Address, database)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	raw, err := (&pgproto3.Query{String: sql}).Encode(nil)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.members[i].signal(c.t, syscall.SIGSTOP)
+	if _, err := conn.Conn().Write(raw); err != nil {
+		c.t.Fatal(err)
+	}
+	_ = conn.Conn().Close()
+	c.members[i].signal(c.t, syscall.SIGCONT)
+}
+
+// commonTerm returns the term that all members report, or 0 when they differ or one does not answer.
+func (c *cluster) commonTerm() uint64 {
+	ctx, cancel := context.WithTimeout(c.t.Context(), time.Second)
+	defer cancel()
+	common := uint64(0)
+	for i := range c.members {
+		control := c.control(i)
+		state, err := control.State(ctx)
+		_ = control.Close()
+		if err != nil || (i > 0 && state.Term() != common) {
+			return 0
+		}
+		common = state.Term()
+	}
+	return common
+}
+
+// clock is the system's clock.
+type clock struct{}
+
+func (clock) Now() time.Time { return time.Now() }
+
 // supersededWrites isolates the primary together with one daemon, waits until the other side has a new primary, and writes
 // through the isolated daemon. It returns the number of these writes that were acknowledged and the number of the
 // acknowledged writes that are missing after the partition has ended.
