A statement after the end of a transaction may run

Cause: MayCommit looked for statements that commit. "ROLLBACK; INSERT ..." commits nothing of the open transaction, but runs the INSERT after it, also in a failed transaction. Seen by callers: "not run" for a statement that took effect, when the connection was lost before the answer. Evidence: TestOutcomesMatchEffects with the case "after rollback" before the change: "reported as not run, but it took effect: not run: the exchange failed before the transaction could commit", in 3 of 6 stages. Change: an exchange that may run something after the end of its transaction may commit; in a failed transaction only that counts. Result: go test -race ./pg ./entry passes.

--- a/pg/exchange.go
+++ b/pg/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"regexp"
+	"slices"
 	"strings"
 	"time"
 
@@ -20,21 +21,37 @@
 	StatusFailed byte = 'E'
 )
 
-// commitPattern matches every statement that can commit or prepare a transaction. It may match other statements too.
-var commitPattern = regexp.MustCompile(`(?i)\b(commit|end|prepare)\b`)
+var (
+	// commitPattern matches every statement that can commit or prepare a transaction. It may match other statements too.
+	commitPattern = regexp.MustCompile(`(?i)\b(commit|end|prepare)\b`)
+	// endPattern matches every statement that can end a transaction; endThenMorePattern also requires another one after it.
+	endPattern         = regexp.MustCompile(`(?i)\b(commit|end|prepare|rollback|abort)\b`)
+	endThenMorePattern = regexp.MustCompile(`(?i)\b(commit|end|prepare|rollback|abort)\b[^;]*;\s*[^\s\x00]`)
+)
 
-// MayCommit reports whether the exchange could commit an open transaction. It may return true for one that cannot, never
-// false for one that can.
+// MayCommit reports whether the exchange could commit an open transaction, or run statements after its end. It may return
+// true for one that cannot, never false for one that can.
 func MayCommit(exchange citronusher.Exchange) bool {
-	for _, steps := range [][]citronusher.Message{exchange.Messages, exchange.RequiredStatements} {
-		for _, step := range steps {
-			if (step.Kind == StepQuery || step.Kind == StepParse) &&
-				commitPattern.Match(step.Raw) {
-				return true
-			}
+	return anyStatement(exchange, commitPattern) || runsAfterEnd(exchange)
+}
+
+// runsAfterEnd reports whether the exchange could run a statement after it has ended an open transaction.
+func runsAfterEnd(exchange citronusher.Exchange) bool {
+	executions := 0
+	for _, step := range exchange.Messages {
+		if step.Kind == StepExecute {
+			executions++
 		}
 	}
-	return false
+	return anyStatement(exchange, endThenMorePattern) || (executions > 1 && anyStatement(exchange, endPattern))
+}
+
+// anyStatement reports whether the pattern matches a statement that the exchange runs or requires.
+func anyStatement(exchange citronusher.Exchange, pattern *regexp.Regexp) bool {
+	matches := func(step citronusher.Message) bool {
+		return (step.Kind == StepQuery || step.Kind == StepParse) && pattern.Match(step.Raw)
+	}
+	return slices.ContainsFunc(exchange.Messages, matches) || slices.ContainsFunc(exchange.RequiredStatements, matches)
 }
 
 // Answer summarizes a target's answer to an exchange.
@@ -109,11 +126,15 @@
 // was not sent completely, or that cannot commit, did not run in a transaction: the target rolls it back.
 func (c *Conn) failure(before byte, exchange citronusher.Exchange, sent bool, cause error) error {
 	c.dirty = true
+	mayCommit := MayCommit(exchange)
+	if before == StatusFailed {
+		mayCommit = runsAfterEnd(exchange)
+	}
 	switch {
 	case !sent && before == StatusIdle:
 		return citronusher.NewNotRun(citronusher.ReasonBroken, "the request could not be sent completely to the target: %v",
 			cause)
-	case before == StatusFailed || (before == StatusActive && (!sent || !MayCommit(exchange))):
+	case before != StatusIdle && (!sent || !mayCommit):
 		return citronusher.NewNotRun(citronusher.ReasonBroken,
 			"the exchange failed before the transaction could commit; the transaction is rolled back: %v", cause)
 	default:
--- a/pg/outcome_test.go
+++ b/pg/outcome_test.go
@@ -107,6 +107,9 @@
 		case strings.HasPrefix(query.String, "COMMIT"):
 			f.add(pending)
 			status = 'I'
+		case strings.HasPrefix(query.String, "ROLLBACK;"):
+			f.add(1) // the statement after it
+			pending, status = 0, 'I'
 		case status == 'T':
 			pending++
 		default:
@@ -152,6 +155,7 @@
 			"statement":        {"INSERT break"},
 			"transaction body": {"BEGIN", "INSERT break"},
 			"commit":           {"BEGIN", "INSERT", "COMMIT; -- break"},
+			"after rollback":   {"BEGIN", "INSERT", "ROLLBACK; INSERT break"},
 		} {
 			t.Run(string(s)+"/"+name, func(t *testing.T) {
 				f := newTarget(t, s)
@@ -208,6 +212,7 @@
 func TestMayCommit(t *testing.T) {
 	for sql, want := range map[string]bool{
 		"COMMIT": true, "insert into x values (1); commit": true, "END": true, "PREPARE TRANSACTION 'x'": true,
+		"ROLLBACK; INSERT INTO x VALUES (1)": true, "ROLLBACK;": false, "ROLLBACK TO a": false,
 		"INSERT INTO x VALUES (1)": false, "ROLLBACK": false, "SELECT 'recommitted'": false,
 	} {
 		raw, err := (&pgproto3.Query{String: sql}).Encode(nil)
