A commit that was sent before its exchange broke off may run

Cause: Conn.failure reported an exchange that was not written to its end as not run. A target runs complete messages as they come: a pipelined COMMIT that was written before the rest takes effect, also seconds later, when a frozen target goes on. Seen by callers: "not run" for a transaction that commits; a retry could run it twice. Evidence: TestPartlySentCommit before the change: "the target ran the commit 1 times, reported: not run: the exchange failed before the transaction could commit; the transaction is rolled back: write tcp ...: i/o timeout". Change: an exchange of several messages of which some bytes were written, and that may commit, is unknown. Result: go test -race ./pg ./entry ./home passes.

--- a/pg/exchange.go
+++ b/pg/exchange.go
@@ -103,11 +103,11 @@
 	}()
 	sent, err := c.conn.Write(raw)
 	if err != nil {
-		return Answer{}, c.failure(before, exchange, sent == len(raw), err)
+		return Answer{}, c.failure(before, exchange, sent, len(raw), err)
 	}
 	answer, err := c.receiveAnswers(expected, exchange.Partial, len(raw) == 0, sink)
 	if err != nil {
-		return answer, c.failure(before, exchange, true, err)
+		return answer, c.failure(before, exchange, len(raw), len(raw), err)
 	}
 	c.status = answer.Status
 	return answer, nil
@@ -122,24 +122,26 @@
 }
 
 // failure returns the failure of an exchange that could not be sent or whose answer could not be received or passed on.
-// before is the transaction status before the exchange, sent whether all of the exchange was written. An exchange that
-// was not sent completely, or that cannot commit, did not run in a transaction: the target rolls it back.
-func (c *Conn) failure(before byte, exchange citronusher.Exchange, sent bool, cause error) error {
+// before is the transaction status before the exchange, and written counts the bytes of size that were sent: messages that
+// were sent completely run, though the connection is lost. What is open then is rolled back.
+func (c *Conn) failure(before byte, exchange citronusher.Exchange, written, size int, cause error) error {
 	c.dirty = true
+	complete := written == size
+	sentPart := written > 0 && (complete || len(exchange.Messages) > 1)
 	mayCommit := MayCommit(exchange)
 	if before == StatusFailed {
 		mayCommit = runsAfterEnd(exchange)
 	}
 	switch {
-	case !sent && before == StatusIdle:
+	case sentPart && mayCommit, complete && before == StatusIdle:
+		return citronusher.NewUnknown(citronusher.ReasonBroken,
+			"the exchange failed before its whole answer was received and passed on: %v", cause)
+	case before == StatusIdle:
 		return citronusher.NewNotRun(citronusher.ReasonBroken, "the request could not be sent completely to the target: %v",
 			cause)
-	case before != StatusIdle && (!sent || !mayCommit):
+	default:
 		return citronusher.NewNotRun(citronusher.ReasonBroken,
 			"the exchange failed before the transaction could commit; the transaction is rolled back: %v", cause)
-	default:
-		return citronusher.NewUnknown(citronusher.ReasonBroken,
-			"the exchange failed before its whole answer was received and passed on: %v", cause)
 	}
 }
 
--- a/pg/outcome_test.go
+++ b/pg/outcome_test.go
@@ -225,3 +225,86 @@
 		}
 	}
 }
+
+// serveLate answers a start-up and one query, and then reads nothing until goOn is closed. It returns how many prepared
+// statements are run by what it reads from then on.
+func serveLate(conn net.Conn, goOn <-chan struct{}) (executed int) {
+	defer func() { _ = conn.Close() }()
+	backend := pgproto3.NewBackend(conn, conn)
+	if _, err := backend.ReceiveStartupMessage(); err != nil {
+		return 0
+	}
+	backend.Send(&pgproto3.AuthenticationOk{})
+	backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	_ = backend.Flush()
+	_, _ = backend.Receive()
+	backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("BEGIN")})
+	backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'T'})
+	_ = backend.Flush()
+	<-goOn
+	for {
+		message, err := backend.Receive()
+		if err != nil {
+			return executed
+		}
+		if _, ok := message.(*pgproto3.Execute); ok {
+			executed++
+		}
+	}
+}
+
+// TestPartlySentCommit guards against a commit that is reported as not run, although it was sent before the rest of its
+// exchange could not be: the target is frozen and runs it when it goes on.
+func TestPartlySentCommit(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	const (
+		readBuffer = 64 << 10 // bytes, of the target's socket
+		excess     = 8 << 20  // bytes, more than the sockets buffer
+	)
+	goOn := make(chan struct{})
+	executed := 0
+	var server errgroup.Group
+	server.Go(func() error {
+		conn, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		_ = conn.(*net.TCPConn).SetReadBuffer(readBuffer)
+		executed = serveLate(conn, goOn)
+		return nil
+	})
+	conn, err := pg.NewLogin("u", "p", "test", nil).Dial(t.Context(), listener.Addr().String(), "d")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := conn.Query(t.Context(), "BEGIN"); err != nil {
+		t.Fatal(err)
+	}
+	var exchange citronusher.Exchange
+	names := []string{"s", "", "", "t", ""}
+	for i, m := range []pgproto3.FrontendMessage{
+		&pgproto3.Parse{Name: "s", Query: "COMMIT"}, &pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Execute{},
+		&pgproto3.Parse{Name: "t", Query: "SELECT '" + strings.Repeat("x", excess) + "'"}, &pgproto3.Sync{},
+	} {
+		raw, err := m.Encode(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		exchange.Messages = append(exchange.Messages, citronusher.Message{Kind: raw[0], Name: names[i], Raw: raw})
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	_, failure := conn.Run(ctx, exchange, func([]byte) error { return nil })
+	_ = conn.Close()
+	close(goOn)
+	if err := server.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if executed != 1 || !errors.Is(failure, citronusher.ErrUnknown) {
+		t.Errorf("the target ran the commit %d times, reported: %v", executed, failure)
+	}
+}
