A former primary whose log diverged serves no session

Cause: Requirement.Eligible compared the minimum position with a replica's offset alone. A former primary that accepted the new term, but has not yet removed the records that only it has, seemed to hold the new primary's records at these offsets. Seen by callers: none reported. A session could miss its own write at such a replica; the check after the answer was the same. Change: a member is diverged when its log ends past the start of a newer term of the primary's, and serves no reads.

--- a/home/database.go
+++ b/home/database.go
@@ -237,12 +237,25 @@
 		state, reachable := d.monitor.State(name)
 		candidates = append(candidates, route.Candidate{
 			Name: name, State: state, Load: t.load(), Leaving: d.monitor.Leaving(name),
-			Reachable: reachable && !t.failing(),
+			Reachable: reachable && !t.failing(), Diverged: d.divergedLocked(state),
 		})
 	}
 	return candidates
 }
 
+// diverged reports whether a member's log holds records that a promotion discarded, which it has not removed yet.
+func (d *database) diverged(state citronusher.MemberState) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.divergedLocked(state)
+}
+
+// divergedLocked is diverged for a caller that holds mu.
+func (d *database) divergedLocked(state citronusher.MemberState) bool {
+	_, lost := session.FirstLostTerm(state.Position(), d.monitor.TermStarts())
+	return lost
+}
+
 // setWritesBlocked blocks or unblocks writes, unless confirmTerm is no longer the current term. It logs a change and
 // notifies waiting requests.
 func (d *database) setWritesBlocked(closed bool, confirmTerm uint64) {
--- a/home/work.go
+++ b/home/work.go
@@ -120,7 +120,7 @@
 		return citronusher.NewUnknown(citronusher.ReasonReplica, "the replica did not confirm its position: %v", err)
 	}
 	need := w.database.requirement(request, w.profile)
-	if need.Eligible(route.Candidate{State: state, Reachable: true}) {
+	if need.Eligible(route.Candidate{State: state, Reachable: true, Diverged: w.database.diverged(state)}) {
 		return nil
 	}
 	return citronusher.NewUnknown(citronusher.ReasonReplica, "the replica's log changed while it answered")
--- a/route/replica.go
+++ b/route/replica.go
@@ -19,6 +19,9 @@
 	Leaving bool
 	// Reachable is false after a failed probe or connection.
 	Reachable bool
+	// Diverged is set for a member whose log holds records that a promotion discarded. Its position says nothing about the
+	// records of the current primary.
+	Diverged bool
 }
 
 // Requirement describes what a read requires of a replica.
@@ -32,9 +35,9 @@
 }
 
 // Eligible reports whether the candidate meets the requirement: it is a reachable replica of the current term that is not
-// leaving, has reached the minimum position, and is fresh enough.
+// leaving, whose log is part of the primary's, has reached the minimum position, and is fresh enough.
 func (r Requirement) Eligible(c Candidate) bool {
-	if c.Leaving || !c.Reachable || c.State.Role() != citronusher.RoleReplica {
+	if c.Leaving || !c.Reachable || c.Diverged || c.State.Role() != citronusher.RoleReplica {
 		return false
 	}
 	if c.State.Term() != r.Term || r.MinPosition.Term() > r.Term {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -87,6 +87,7 @@
 		"old but within limits": {route.Candidate{State: state(3, 50, 59*time.Second), Reachable: true}, true},
 		"leaving":               {route.Candidate{State: state(3, 50, 0), Reachable: true, Leaving: true}, false},
 		"unreachable":           {route.Candidate{State: state(3, 50, 0)}, false},
+		"diverged":              {route.Candidate{State: state(3, 50, 0), Reachable: true, Diverged: true}, false},
 	} {
 		if got := req.Eligible(c.candidate); got != c.want {
 			t.Errorf("%s: eligible %t", name, got)
