The member with the latest log is promoted, leaving or not

Cause: Election.Candidate left out members that are leaving, and took the best of the others, though its log was shorter. A planned move whose catch-up timed out, or whose only member with the whole log answered the fence late, promoted one with less. Seen by callers: acknowledged writes lost, with the majority acknowledgement too. Change: the latest position decides, and whether a member stays only among equals. After promoting one that leaves, a home waits a second or two before it moves the primary again.

--- a/home/promote.go
+++ b/home/promote.go
@@ -17,6 +17,7 @@
 	catchUpTimeout    = 1500 * time.Millisecond
 	catchUpInterval   = 20 * time.Millisecond
 	minPromotionDelay = 200 * time.Millisecond // minimum delay after a failed promotion
+	moveRetryDelay    = 1 * time.Second        // minimum delay before a leaving primary is replaced again
 )
 
 // memberAnswer is one member's answer to a request or a command.
@@ -26,8 +27,8 @@
 	err   error
 }
 
-// promote runs an election for a new term and promotes the candidate: the member with the latest log that is not leaving.
-// If it fails, the next promotion is deferred by a random delay.
+// promote runs an election for a new term and promotes the candidate: the member with the latest log, if possible one that
+// is not leaving. If it fails, or a leaving member had to be promoted, the next promotion is deferred by a random delay.
 func (d *database) promote(action term.Action) {
 	logger := d.set.config.Logger
 	events.Log(logger, events.Promoting, "database", d.name, "term", action.Promote, "planned", action.Planned)
@@ -43,15 +44,23 @@
 	if ok {
 		ok = d.promoteCandidate(ctx, winner, action.Promote)
 	}
-	if !ok {
-		d.mu.Lock()
-		d.monitor.DeferPromotion(d.now().Add(jitter(minPromotionDelay)))
-		d.mu.Unlock()
+	switch {
+	case ok && d.leaving(winner):
+		d.deferPromotion(moveRetryDelay)
+	case !ok:
+		d.deferPromotion(minPromotionDelay)
 		events.Log(logger, events.PromotionFailed, "database", d.name, "term", action.Promote, "fenced", claim.Won())
 		d.wakeProbes()
 	}
 }
 
+// deferPromotion defers the next promotion by a random delay of at least low.
+func (d *database) deferPromotion(low time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.monitor.DeferPromotion(d.now().Add(jitter(low)))
+}
+
 // members returns a copy of the targets by member name.
 func (d *database) members() map[string]*target {
 	d.mu.Lock()
@@ -108,8 +117,8 @@
 	_ = group.Wait()
 }
 
-// fencePrimary fences a working primary, so that its log ends, and waits at most catchUpLimit until a member that is not
-// leaving has all of the log. A planned promotion then loses no commits. It reports whether the primary accepted the
+// fencePrimary fences a working primary, so that its log ends, and waits at most catchUpTimeout until a member that is not
+// leaving has all of the log. If none has, the primary itself is the candidate. It reports whether the primary accepted the
 // term.
 func (d *database) fencePrimary(ctx context.Context, action term.Action, claim *term.Election) bool {
 	members := d.members()
--- a/term/election.go
+++ b/term/election.go
@@ -32,17 +32,18 @@
 // Complete reports whether a response or a failure was recorded for every member.
 func (e *Election) Complete() bool { return len(e.fenced)+e.refused == e.members }
 
-// Candidate returns the member to promote: the one with the latest position among the fenced members that allowed
-// accepts. ok is false before the election is won or when there is none.
-func (e *Election) Candidate(allowed func(name string) bool) (name string, ok bool) {
+// Candidate returns the member to promote: the one with the latest position among the fenced members. Among several with
+// that position it is one that preferred accepts, if there is one. ok is false before the election is won.
+func (e *Election) Candidate(preferred func(name string) bool) (name string, ok bool) {
 	if !e.Won() {
 		return "", false
 	}
-	var best fencedMember
-	for _, m := range e.fenced {
-		if allowed(m.name) && (best.name == "" || best.position.Less(m.position)) {
+	best := e.fenced[0]
+	for _, m := range e.fenced[1:] {
+		equal := m.position == best.position
+		if best.position.Less(m.position) || (equal && !preferred(best.name) && preferred(m.name)) {
 			best = m
 		}
 	}
-	return best.name, best.name != ""
+	return best.name, true
 }
