--- a/home/marker.go
+++ b/home/marker.go
@@ -6,13 +6,9 @@
 	"strings"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgproto3"
-
 	"citronusher.example/citronusher"
-	"citronusher.example/citronusher/events"
 	"citronusher.example/citronusher/pg"
 	"citronusher.example/citronusher/profile"
-	"citronusher.example/citronusher/term"
 )
 
 // The marker table records the outcomes of non-repeatable requests of a database. A row is written in the transaction of
@@ -237,50 +233,6 @@
 	return values[0], false, nil
 }
 
-// repeated answers a request that has already run with its recorded command tag, after confirming it.
-func (w *work) repeated(
-	ctx context.Context, request citronusher.Request, tag string, buffer *answerBuffer,
-) (citronusher.Result, error) {
-	if _, _, err := w.conn.Query(ctx, "ROLLBACK"); err != nil {
-		return citronusher.Result{}, w.undetermined(err)
-	}
-	buffer.discard()
-	exchange := withoutExecute(request.Exchange, tag)
-	if _, err := w.conn.Run(ctx, exchange, buffer.write); err != nil {
-		return citronusher.Result{}, w.undetermined(err)
-	}
-	position, err := w.confirmed(ctx, w.profile.MajorityAck())
-	if err != nil {
-		return citronusher.Result{}, err
-	}
-	w.database.set.config.Meter.CountRetry(citronusher.ReasonRepeat)
-	return citronusher.Result{Status: pg.StatusIdle, Position: position}, w.deliver(buffer)
-}
-
-// undetermined returns the failure of a marked request whose marker could not be read or voided: its outcome stays
-// unknown.
-func (w *work) undetermined(err error) error {
-	return citronusher.NewUnknown(citronusher.ReasonBroken, "the request's recorded outcome could not be determined: %v", err)
-}
-
-// withoutExecute adds the recorded command tag as the answer to each message that would run a statement. Other messages,
-// such as Describe, are still sent to the target.
-func withoutExecute(exchange citronusher.Exchange, tag string) citronusher.Exchange {
-	complete, err := (&pgproto3.CommandComplete{CommandTag: []byte(tag)}).Encode(nil)
-	if err != nil {
-		return exchange
-	}
-	steps := make([]citronusher.Message, 0, len(exchange.Messages))
-	for _, step := range exchange.Messages {
-		if step.Kind == pg.StepQuery || step.Kind == pg.StepExecute {
-			step.RecordedAnswer = complete
-		}
-		steps = append(steps, step)
-	}
-	exchange.Messages = steps
-	return exchange
-}
-
 // markCommit writes the marker of an explicit transaction immediately before its commit. done is true when the request
 // has already run, or when the marker could not be written.
 func (w *work) markCommit(
@@ -309,96 +261,3 @@
 	w.release()
 	return result, true, err
 }
-
-// resolveOutcome resolves the outcome of a marked request that ended as unknown with cause. It repeats
-// tryResolveOutcome until that succeeds; when ctx ends first, it returns cause.
-func (w *work) resolveOutcome(
-	ctx context.Context, request citronusher.Request, buffer *answerBuffer, cause error,
-) (citronusher.Result, error) {
-	for ctx.Err() == nil {
-		result, err := w.tryResolveOutcome(ctx, request, buffer)
-		f := citronusher.AsFailure(err)
-		if err == nil || f.Reason() == citronusher.ReasonRepeat {
-			events.Log(w.database.set.config.Logger, events.OutcomeResolved, "database", w.database.name, "error", err)
-			return result, err
-		}
-		d := w.database
-		events.Log(d.set.config.Logger, events.OutcomeUnresolved, "database", d.name, "error", err)
-		select {
-		case <-time.After(jitter(unblockInterval)):
-		case <-ctx.Done():
-		}
-	}
-	return citronusher.Result{}, cause
-}
-
-// tryResolveOutcome looks for the marker at the primary. If it exists, the request ran, and the recorded command tag is
-// returned. If not, a void marker is written, so that the request cannot commit later, and the failure says that it did
-// not run. Either result is confirmed first.
-func (w *work) tryResolveOutcome(
-	ctx context.Context, request citronusher.Request, buffer *answerBuffer,
-) (citronusher.Result, error) {
-	t, current, err := w.database.awaitPrimary(ctx, request.MinPosition)
-	if err != nil {
-		return citronusher.Result{}, err
-	}
-	w.term = current
-	ticket := t.ticket(request, w.profile)
-	if err := w.acquire(ctx, t, ticket); err != nil {
-		return citronusher.Result{}, err
-	}
-	defer t.finish(ticket)
-	defer w.release()
-	if _, _, err := w.conn.Query(ctx, "BEGIN"); err != nil {
-		return citronusher.Result{}, err
-	}
-	tag, fresh, err := w.insertMarker(ctx, request.ID)
-	if err != nil {
-		return citronusher.Result{}, err
-	}
-	if !fresh {
-		return w.repeated(ctx, request, tag, buffer)
-	}
-	void := fmt.Sprintf("UPDATE citronusher_marker SET tag = '%s' WHERE id = %s; COMMIT", tagVoid, quote(request.ID))
-	if _, answer, err := w.conn.Query(ctx, void); err != nil || answer.ErrorCode != "" {
-		return citronusher.Result{}, w.undetermined(fmt.Errorf("void marker: %s: %w", answer.Message, err))
-	}
-	if _, err := w.confirmed(ctx, w.profile.MajorityAck()); err != nil {
-		return citronusher.Result{}, err
-	}
-	return citronusher.Result{}, citronusher.NewNotRun(citronusher.ReasonRepeat,
-		"the request did not commit and can no longer commit")
-}
-
-// checkReplication rejects a write that must be replicated to a majority if too few replicas are close enough to the
-// primary to do so before the deadline. It probes the replicas again before that, because their last states may be old.
-func (d *database) checkReplication(ctx context.Context, deadline time.Time) error {
-	if d.replicasNear(deadline) == nil {
-		return nil
-	}
-	d.wakeProbes()
-	select {
-	case <-time.After(recheckDelay):
-	case <-ctx.Done():
-	}
-	return d.replicasNear(deadline)
-}
-
-// replicasNear returns a failure unless a majority of the members lags by at most half of the time that is left.
-func (d *database) replicasNear(deadline time.Time) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	patience := deadline.Sub(d.now()) / 2
-	near := 0
-	for name := range d.targets {
-		state, reachable := d.monitor.State(name)
-		if reachable && (name == d.primary || state.FreshAt().After(state.RequestedAt().Add(-patience))) {
-			near++
-		}
-	}
-	if near >= term.Majority(len(d.targets)) {
-		return nil
-	}
-	return citronusher.NewNotRun(citronusher.ReasonBehind,
-		"too few replicas are close enough to the primary to hold a copy of the write before the deadline")
-}
--- a/pg/exchange.go
+++ b/pg/exchange.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"regexp"
-	"slices"
 	"strings"
 	"time"
 
@@ -21,39 +18,6 @@
 	StatusFailed byte = 'E'
 )
 
-var (
-	// commitPattern matches every statement that can commit or prepare a transaction. It may match other statements too.
-	commitPattern = regexp.MustCompile(`(?i)\b(commit|end|prepare)\b`)
-	// endPattern matches every statement that can end a transaction; endThenMorePattern also requires another one after it.
-	endPattern         = regexp.MustCompile(`(?i)\b(commit|end|prepare|rollback|abort)\b`)
-	endThenMorePattern = regexp.MustCompile(`(?i)\b(commit|end|prepare|rollback|abort)\b[^;]*;\s*[^\s\x00]`)
-)
-
-// MayCommit reports whether the exchange could commit an open transaction, or run statements after its end. It may return
-// true for one that cannot, never false for one that can.
-func MayCommit(exchange citronusher.Exchange) bool {
-	return anyStatement(exchange, commitPattern) || runsAfterEnd(exchange)
-}
-
-// runsAfterEnd reports whether the exchange could run a statement after it has ended an open transaction.
-func runsAfterEnd(exchange citronusher.Exchange) bool {
-	executions := 0
-	for _, step := range exchange.Messages {
-		if step.Kind == StepExecute {
-			executions++
-		}
-	}
-	return anyStatement(exchange, endThenMorePattern) || (executions > 1 && anyStatement(exchange, endPattern))
-}
-
-// anyStatement reports whether the pattern matches a statement that the exchange runs or requires.
-func anyStatement(exchange citronusher.Exchange, pattern *regexp.Regexp) bool {
-	matches := func(step citronusher.Message) bool {
-		return (step.Kind == StepQuery || step.Kind == StepParse) && pattern.Match(step.Raw)
-	}
-	return slices.ContainsFunc(exchange.Messages, matches) || slices.ContainsFunc(exchange.RequiredStatements, matches)
-}
-
 // Answer summarizes a target's answer to an exchange.
 type Answer struct {
 	// Status is the transaction status byte after the exchange.
@@ -113,38 +77,6 @@
 	return answer, nil
 }
 
-// NewContextEnded returns the failure of a request whose context ended with err before the request was sent.
-func NewContextEnded(err error) error {
-	if errors.Is(err, context.Canceled) {
-		return citronusher.NewNotRun(citronusher.ReasonCancel, "the request was cancelled before it was sent")
-	}
-	return citronusher.NewNotRun(citronusher.ReasonDeadline, "the deadline passed before the request was sent")
-}
-
-// failure returns the failure of an exchange that could not be sent or whose answer could not be received or passed on.
-// before is the transaction status before the exchange, and written counts the bytes of size that were sent: messages that
-// were sent completely run, though the connection is lost. What is open then is rolled back.
-func (c *Conn) failure(before byte, exchange citronusher.Exchange, written, size int, cause error) error {
-	c.dirty = true
-	complete := written == size
-	sentPart := written > 0 && (complete || len(exchange.Messages) > 1)
-	mayCommit := MayCommit(exchange)
-	if before == StatusFailed {
-		mayCommit = runsAfterEnd(exchange)
-	}
-	switch {
-	case sentPart && mayCommit, complete && before == StatusIdle:
-		return citronusher.NewUnknown(citronusher.ReasonBroken,
-			"the exchange failed before its whole answer was received and passed on: %v", cause)
-	case before == StatusIdle:
-		return citronusher.NewNotRun(citronusher.ReasonBroken, "the request could not be sent completely to the target: %v",
-			cause)
-	default:
-		return citronusher.NewNotRun(citronusher.ReasonBroken,
-			"the exchange failed before the transaction could commit; the transaction is rolled back: %v", cause)
-	}
-}
-
 // encodeExchange returns the bytes to send and the answers to expect. It prepends the definitions of prepared statements
 // that the connection does not have, and leaves out messages that can be answered without the target.
 func (c *Conn) encodeExchange(exchange citronusher.Exchange) ([]byte, []expectedAnswer, error) {
--- a/pg/failure.go
+++ b/pg/failure.go
@@ -1,6 +1,8 @@
 package pg
 
 import (
+	"context"
+	"errors"
 	"fmt"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -32,3 +34,35 @@
 	}
 	response.UnknownFields[outcomeField] = outcome.String()
 }
+
+// NewContextEnded returns the failure of a request whose context ended with err before the request was sent.
+func NewContextEnded(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return citronusher.NewNotRun(citronusher.ReasonCancel, "the request was cancelled before it was sent")
+	}
+	return citronusher.NewNotRun(citronusher.ReasonDeadline, "the deadline passed before the request was sent")
+}
+
+// failure returns the failure of an exchange that could not be sent or whose answer could not be received or passed on.
+// before is the transaction status before the exchange, and written counts the bytes of size that were sent: messages that
+// were sent completely run, though the connection is lost. What is open then is rolled back.
+func (c *Conn) failure(before byte, exchange citronusher.Exchange, written, size int, cause error) error {
+	c.dirty = true
+	complete := written == size
+	sentPart := written > 0 && (complete || len(exchange.Messages) > 1)
+	mayCommit := MayCommit(exchange)
+	if before == StatusFailed {
+		mayCommit = runsAfterEnd(exchange)
+	}
+	switch {
+	case sentPart && mayCommit, complete && before == StatusIdle:
+		return citronusher.NewUnknown(citronusher.ReasonBroken,
+			"the exchange failed before its whole answer was received and passed on: %v", cause)
+	case before == StatusIdle:
+		return citronusher.NewNotRun(citronusher.ReasonBroken, "the request could not be sent completely to the target: %v",
+			cause)
+	default:
+		return citronusher.NewNotRun(citronusher.ReasonBroken,
+			"the exchange failed before the transaction could commit; the transaction is rolled back: %v", cause)
+	}
+}
