A connection with an open implicit transaction serves no other caller

Cause: after an exchange that ended with Flush the status byte is still that of the last ReadyForQuery, so that Conn.Usable said yes and the pool gave the connection to the next caller, in the same implicit transaction. Seen by callers: a statement of a caller that left without Sync was committed by the next caller's Sync, which also saw it before. Evidence: vanished.txt before the change, one row and "a flush INSERT", then "a close": "b: 2 rows: old; ran". Change: Conn knows that messages were sent since the last Sync, and isn't usable then; the pool closes it and the target rolls back. Result: "b: 1 rows: old; ran"; go test -race ./home ./pg ./entry passes.

--- a/home/superseded_test.go
+++ b/home/superseded_test.go
@@ -242,13 +242,19 @@
 	return fmt.Sprintf("%d rows: %s; ", len(a.values), a.values[0])
 }
 
-// line runs one line of a script: supersede, or CONNECTION HOW SQL, where HOW is query, prepared, flush, or marked.
+// line runs one line of a script: supersede, CONNECTION close, or CONNECTION HOW SQL, where HOW is query, prepared, flush,
+// or marked.
 func (s *groupScript) line(text string) string {
 	if text == "supersede" {
 		s.supersede()
 		return "m2 is the primary of term 2\n"
 	}
 	name, rest, _ := strings.Cut(text, " ")
+	if rest == "close" {
+		_ = s.conns[name].Close()
+		delete(s.conns, name)
+		return ""
+	}
 	how, sql, _ := strings.Cut(rest, " ")
 	id, kind, profileName := "", pg.StepQuery, profile.Fresh
 	switch how {
@@ -264,10 +270,9 @@
 	return fmt.Sprintf("%s: %s\n", name, s.run(name, profileName, id, kind, sql))
 }
 
-// TestSupersededPrimaryAnswersNothing guards against rows and commits of a superseded primary that reach a caller through a
-// home that can't see the promotion.
-func TestSupersededPrimaryAnswersNothing(t *testing.T) {
-	datadriven.RunTest(t, "testdata/superseded.txt", func(t *testing.T, d *datadriven.TestData) string {
+// runScripts runs the scripts of a file, each against a group of its own.
+func runScripts(t *testing.T, path string) {
+	datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 		s := newGroupScript(t)
 		var out strings.Builder
 		for _, text := range strings.Split(strings.TrimSpace(d.Input), "\n") {
@@ -276,3 +281,10 @@
 		return out.String()
 	})
 }
+
+// TestSupersededPrimaryAnswersNothing guards against rows and commits of a superseded primary that reach a caller through a
+// home that can't see the promotion.
+func TestSupersededPrimaryAnswersNothing(t *testing.T) { runScripts(t, "testdata/superseded.txt") }
+
+// TestVanishedCallerLeavesNoTransaction guards against an open transaction on a connection that serves the next caller.
+func TestVanishedCallerLeavesNoTransaction(t *testing.T) { runScripts(t, "testdata/vanished.txt") }
--- a/pg/conn.go
+++ b/pg/conn.go
@@ -82,6 +82,7 @@
 	secretKey  []byte
 	status     byte
 	discarding bool // the target discards messages until Sync, because of an error
+	unsynced   bool // an exchange ended with Flush: its implicit transaction is open until Sync
 	prepared   map[string]bool
 	dirty      bool // carries session state or is in an unknown protocol state: must not be reused
 }
@@ -122,7 +123,8 @@
 // Usable reports whether the connection may be used for another request: it is outside a transaction, carries no
 // session state, has room for prepared statements, and the target has not closed it.
 func (c *Conn) Usable() bool {
-	return !c.dirty && c.status == StatusIdle && !c.discarding && len(c.prepared) < maxPreparedStatements && c.idleSocket()
+	inTransaction := c.status != StatusIdle || c.unsynced || c.discarding
+	return !c.dirty && !inTransaction && len(c.prepared) < maxPreparedStatements && c.idleSocket()
 }
 
 // idleSocket reports whether the socket is open and holds no unread byte.
--- a/pg/exchange.go
+++ b/pg/exchange.go
@@ -74,6 +74,7 @@
 		return answer, c.failure(before, exchange, len(raw), len(raw), err)
 	}
 	c.status = answer.Status
+	c.unsynced = exchange.Partial || (c.unsynced && len(raw) == 0)
 	return answer, nil
 }
 
