--- a/prove/capacity_test.go
+++ b/prove/capacity_test.go
@@ -176,6 +176,22 @@
 	b.StopTimer()
 }
 
+// BenchmarkTransaction reports the time of a transaction of three reads at its home, each confirmed, and the processor time
+// of it, summed over all daemons.
+func BenchmarkTransaction(b *testing.B) {
+	c := newCluster(b, clusterOptions{daemons: 2, homes: 1})
+	conn := c.mustDial(c.firstHome(), "")
+	used := sum(c.daemons, cpu)
+	for b.Loop() {
+		for _, sql := range []string{"BEGIN", "SELECT 1", "SELECT 2", "SELECT 3", "COMMIT"} {
+			if _, err := conn.Exec(context.Background(), sql); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	b.ReportMetric((sum(c.daemons, cpu)-used)/float64(b.N)*1e6, "us-cpu/op")
+}
+
 // measureWriteGap runs a writer through every entry, injects the failure, and returns the longest time between two
 // consecutive acknowledged writes.
 func measureWriteGap(b *testing.B, c *cluster, fail func()) time.Duration {
