--- a/pg/exchange.go
+++ b/pg/exchange.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"regexp"
 	"strings"
 	"time"
 
@@ -20,23 +18,6 @@
 	StatusFailed byte = 'E'
 )
 
-// commitPattern matches every statement that can commit or prepare a transaction. It may match other statements too.
-var commitPattern = regexp.MustCompile(`(?i)\b(commit|end|prepare)\b`)
-
-// MayCommit reports whether the exchange could commit an open transaction. It may return true for one that cannot, never
-// false for one that can.
-func MayCommit(exchange citronusher.Exchange) bool {
-	for _, steps := range [][]citronusher.Message{exchange.Messages, exchange.RequiredStatements} {
-		for _, step := range steps {
-			if (step.Kind == StepQuery || step.Kind == StepParse) &&
-				commitPattern.Match(step.Raw) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // Answer summarizes a target's answer to an exchange.
 type Answer struct {
 	// Status is the transaction status byte after the exchange.
@@ -86,42 +67,17 @@
 	}()
 	sent, err := c.conn.Write(raw)
 	if err != nil {
-		return Answer{}, c.failure(before, exchange, sent == len(raw), err)
+		return Answer{}, c.failure(before, exchange, sent, len(raw), err)
 	}
 	answer, err := c.receiveAnswers(expected, exchange.Partial, len(raw) == 0, sink)
 	if err != nil {
-		return answer, c.failure(before, exchange, true, err)
+		return answer, c.failure(before, exchange, len(raw), len(raw), err)
 	}
 	c.status = answer.Status
+	c.unsynced = exchange.Partial || (c.unsynced && len(raw) == 0)
 	return answer, nil
 }
 
-// NewContextEnded returns the failure of a request whose context ended with err before the request was sent.
-func NewContextEnded(err error) error {
-	if errors.Is(err, context.Canceled) {
-		return citronusher.NewNotRun(citronusher.ReasonCancel, "the request was cancelled before it was sent")
-	}
-	return citronusher.NewNotRun(citronusher.ReasonDeadline, "the deadline passed before the request was sent")
-}
-
-// failure returns the failure of an exchange that could not be sent or whose answer could not be received or passed on.
-// before is the transaction status before the exchange, sent whether all of the exchange was written. An exchange that
-// was not sent completely, or that cannot commit, did not run in a transaction: the target rolls it back.
-func (c *Conn) failure(before byte, exchange citronusher.Exchange, sent bool, cause error) error {
-	c.dirty = true
-	switch {
-	case !sent && before == StatusIdle:
-		return citronusher.NewNotRun(citronusher.ReasonBroken, "the request could not be sent completely to the target: %v",
-			cause)
-	case before == StatusFailed || (before == StatusActive && (!sent || !MayCommit(exchange))):
-		return citronusher.NewNotRun(citronusher.ReasonBroken,
-			"the exchange failed before the transaction could commit; the transaction is rolled back: %v", cause)
-	default:
-		return citronusher.NewUnknown(citronusher.ReasonBroken,
-			"the exchange failed before its whole answer was received and passed on: %v", cause)
-	}
-}
-
 // encodeExchange returns the bytes to send and the answers to expect. It prepends the definitions of prepared statements
 // that the connection does not have, and leaves out messages that can be answered without the target.
 func (c *Conn) encodeExchange(exchange citronusher.Exchange) ([]byte, []expectedAnswer, error) {
