An old primary that answers may be promoted, when the requested member cannot

Cause: after a request that was not answered nobody goes back to the old primary. When the platform refused the requested member, or it had left the list, the best of the remaining replicas was promoted, although the old primary answered and had the longest log: commits that it had acknowledged, and that only the requested member had received, would be lost (LOST). A group whose only replica was gone had no usable primary any more.

Change: when a request is repeated, the old primary is made a replica if it answers, as in a planned promotion. It is then paused and chosen like any other.

--- a/targets/promote.go
+++ b/targets/promote.go
@@ -118,7 +118,10 @@
 	}
 	events.Log(m.group.set.config.Logger, events.Promoting, "group", m.group.name, "primary", m.primary, "term", m.term,
 		"planned", m.planned, "token", m.claim.Token, "era", m.group.set.config.Store.Era().Number)
-	if m.planned {
+	switch {
+	case m.claim.Phase == citronusher.ClaimRequested:
+		m.demotePrimary() // it may have the longest log of those that can be promoted
+	case m.planned:
 		m.stepDown()
 	}
 	m.demoteSuperseded()
@@ -228,28 +231,34 @@
 	return position
 }
 
-// stepDown demotes a leaving primary to a replica and waits up to catchUpTimeout until a member that stays has received
-// all of its log. If the demotion fails, the promotion continues as for a primary that is down.
-func (m *promotionAttempt) stepDown() {
+// demotePrimary demotes the primary to a replica and returns its reply; the zero reply if the primary is no member.
+func (m *promotionAttempt) demotePrimary() memberReply {
 	g := m.group
 	g.mu.Lock()
 	primary := g.members[m.primary]
 	g.mu.Unlock()
 	if primary == nil {
-		return
+		return memberReply{}
 	}
-	demoted := g.query(primary, memberTimeout, func(
+	return g.query(primary, memberTimeout, func(
 		c *pooledConn, deadline citronusher.Instant,
 	) (citronusher.MemberStatus, error) {
 		return c.link.Demote(deadline, m.term+1)
 	})
-	if demoted.err != nil {
+}
+
+// stepDown demotes a leaving primary to a replica and waits up to catchUpTimeout until a member that stays has received
+// all of its log. If the demotion fails, the promotion continues as for a primary that is down.
+func (m *promotionAttempt) stepDown() {
+	g := m.group
+	demoted := m.demotePrimary()
+	if demoted.member == nil || demoted.err != nil {
 		return
 	}
 	catchUpDeadline := g.now().Add(catchUpTimeout)
 	for g.now() < catchUpDeadline {
 		for _, r := range g.queryAll(requestStatus) {
-			if r.err == nil && r.member != primary && !r.leaving && !r.status.Position.Less(demoted.status.Position) {
+			if r.err == nil && r.member != demoted.member && !r.leaving && !r.status.Position.Less(demoted.status.Position) {
 				return
 			}
 		}
--- a/targets/promote_test.go
+++ b/targets/promote_test.go
@@ -146,7 +146,8 @@
 }
 
 // TestAnotherMemberIsPromoted checks when another member is promoted than the one whose promotion was requested without
-// an answer: when the platform refuses that one, or it is no member any more.
+// an answer: when the platform refuses that one, or it is no member any more. It is the one with the longest log, so that
+// no acknowledged commit is lost: here the old primary, which answers again.
 func TestAnotherMemberIsPromoted(t *testing.T) {
 	refuse := func(p *fakePlatform) {
 		p.promote = func(member string) error {
@@ -170,7 +171,7 @@
 					t.Fatalf("abandoned: %s", reason)
 				}
 				requests := p.requests()
-				if last := requests[len(requests)-1]; last.member != "c" || last.claim.Candidate != "c" {
+				if last := requests[len(requests)-1]; last.member != "a" || last.claim.Candidate != "a" {
 					t.Errorf("requests %v", requests)
 				}
 			})
