Stand-in: draining and its end are two methods again

Drain is as it was, and CancelDrain is new.

go vet ./...: clean. go test -race ./prove -run TestUsers: ok. Before it, go test -race ./standin/users ./platform/store ./gateway without the known red tests: ok.

--- a/gateway/action_test.go
+++ b/gateway/action_test.go
@@ -91,9 +91,9 @@
 	case "hear":
 		s.member(fields[1]).StopReceiving(false)
 	case "leave":
-		s.member(fields[1]).Drain(true)
+		s.member(fields[1]).Drain()
 	case "stay":
-		s.member(fields[1]).Drain(false)
+		s.member(fields[1]).CancelDrain()
 	case "freeze":
 		s.member(fields[1]).SetFrozen(true)
 	case "thaw":
@@ -243,8 +243,8 @@
 	return fmt.Sprintf("%d, %s", len(orders), verdict)
 }
 
-// planPromotions sets what becomes of promotion requests: "usual", "lost", "cut", "refused STATUS", "late MILLISECONDS" until
-// their effect, or "held MILLISECONDS" until they are handled.
+// planPromotions sets what becomes of promotion requests: "usual", "lost", "cut", "refused STATUS", "late MILLISECONDS"
+// until their effect, or "held MILLISECONDS" until they are handled.
 func (s *script) planPromotions(fields []string) {
 	number := 0
 	if len(fields) > 1 {
--- a/soak/fault_member.go
+++ b/soak/fault_member.go
@@ -60,18 +60,18 @@
 
 // replace drains a primary and replaces it once another member leads. When none does in time it goes on as it was.
 func (r *run) replace(m *users.Member, f Fault) error {
-	m.Drain(true)
+	m.Drain()
 	deadline := time.Now().Add(maxDrainTime)
 	for !r.replacedBy(f.Group, m) {
 		if time.Now().After(deadline) {
-			m.Drain(false)
+			m.CancelDrain()
 			return nil
 		}
 		time.Sleep(drainPollTime)
 	}
 	time.Sleep(f.Duration)
 	if !r.replacedBy(f.Group, m) { // promoted again meanwhile
-		m.Drain(false)
+		m.CancelDrain()
 		return nil
 	}
 	return m.Replace(fmt.Sprintf("%s-%d", m.ID(), f.At.Milliseconds()))
--- a/standin/users/member.go
+++ b/standin/users/member.go
@@ -106,8 +106,11 @@
 	m.withLock(func() { m.notReceiving = notReceiving })
 }
 
-// Drain sets whether the member reports that it is draining.
-func (m *Member) Drain(draining bool) { m.withLock(func() { m.draining = draining }) }
+// Drain makes the member report that it is draining.
+func (m *Member) Drain() { m.withLock(func() { m.draining = true }) }
+
+// CancelDrain makes the member report that it is ready again.
+func (m *Member) CancelDrain() { m.withLock(func() { m.draining = false }) }
 
 // Replace ends a member that drains and starts another one in its place: with another ID, and with its address and log.
 func (m *Member) Replace(id string) error {
