--- a/prove/users_test.go
+++ b/prove/users_test.go
@@ -189,7 +189,7 @@
 	}
 	s.daemons[2].signal(t, syscall.SIGTERM)
 	pause()
-	s.group.Primary().Drain(true)
+	s.group.Primary().Drain()
 	pause()
 	stop.Store(true)
 	if err := tasks.Wait(); err != nil {
