A holder whose claim has ended adopts a primary like any other daemon

Cause: a holder that found the primary leading resumed the replicas, requested the reports again and took its own claim for the proof that nobody had replaced the primary, without looking whether the claim still lasted. One that was frozen in between began a lease on a primary that the next holder had replaced, as long as a replica had not heard of that: reads that lack commits (STALE), writes that are lost (ONE).

Evidence: TestThawedHolderAdoptsNoReplacedPrimary failed: 'primary "a" of term 1 is used after b leads term 2; the primary answers'.

Change: after the second reports the holder checks the end of its claim, and reads the claim on the group when it has ended.

--- a/targets/promote.go
+++ b/targets/promote.go
@@ -187,6 +187,10 @@
 		m.resumeReplication()
 		replies = m.group.queryAll(requestStatus)
 	}
+	if m.group.now() >= m.claimDeadline {
+		m.group.adopt(replies) // another holder may have replaced the primary
+		return
+	}
 	claim := claimUnknown // the store may have lost one
 	if m.unrequested {
 		claim = claimFree
