A promotion that is overdue is requested, also in a group without requests

Cause: a daemon that found a pending request in the claim's row recorded the outage of the primary, and adopted the old primary in the same call, which cleared it; a row of a later term than any member's recorded none. No lease began, and no promotion was due until a request came, or ever: a daemon that started then did not become ready, and a group whose latest primary was gone for good, unknown to the daemons that were left, had no usable primary.

Evidence: TestPendingRequestOfAnUnusedGroupIsRepeated failed: 'no lease after a minute: primary "a", 1 requests, unavailable since 0'. TestClaimOnAnUnknownTermIsReplaced failed in phases free and held: 'primary "a" is not usable, and no promotion is due'.

Change: both rows are one state of the claim, overdue, and the outage is recorded after the primary was adopted.

--- a/targets/discover.go
+++ b/targets/discover.go
@@ -186,6 +186,9 @@
 		g.logBegan(&newLease, found.id, p.name(), now)
 	}
 	g.setPrimary(found, newLease, now)
+	if claim == claimOverdue {
+		g.markUnavailable(now, false)
+	}
 	return true
 }
 
--- a/targets/establish.go
+++ b/targets/establish.go
@@ -30,8 +30,11 @@
 	claimUnknown claimState = iota
 	// claimFree means that nobody could promote a successor so far.
 	claimFree
-	// claimHeld means that a promotion may take effect, or has taken effect.
+	// claimHeld means that a promotion may be requested, or has taken effect.
 	claimHeld
+	// claimOverdue means that a promotion has to be requested: one that was requested may take effect at any time, or a
+	// later primary, of which no member reports, has been replaced.
+	claimOverdue
 )
 
 // establish begins or renews the lease if the proof suffices. With a claim in an unknown state the reports of all replicas
@@ -123,11 +126,8 @@
 	read, err := g.set.config.Store.ReadClaim(ctx, g.name)
 	era := g.set.config.Store.Era()
 	switch {
-	case err == nil && promotion.Pending(read, term):
-		g.reportPending()
-		return claimHeld
-	case err == nil && promotion.Superseded(read, term):
-		return claimHeld
+	case err == nil && (promotion.Pending(read, term) || promotion.Superseded(read, term)):
+		return claimOverdue
 	case err != nil, read.Era != era.Number:
 		return claimUnknown
 	case promotion.Unclaimed(read, era, term):
@@ -139,14 +139,6 @@
 	}
 }
 
-// reportPending records that the primary is unavailable because a promotion of another member may take effect, so that the
-// promotion is requested again when the claim on the group has ended.
-func (g *Group) reportPending() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.markUnavailable(g.now(), false)
-}
-
 // establishFrom establishes the lease from reports that do not renew it, and reports whether they and the claim on the group
 // suffice.
 func (g *Group) establishFrom(replies []memberReply) bool {
@@ -164,6 +156,10 @@
 	if g.lease.Term() != term || g.primary != primary {
 		return false
 	}
+	if claim == claimOverdue {
+		g.markUnavailable(g.now(), false)
+		return false
+	}
 	p := g.observeReports(&g.lease, primary, replies, g.now())
 	p.claim = claim
 	valid := g.lease.Valid(g.now())
--- a/targets/promote_test.go
+++ b/targets/promote_test.go
@@ -72,8 +72,8 @@
 		if claim := g.readClaim(2); claim != claimFree {
 			t.Errorf("the claim on the successor is %d, want %d", claim, claimFree)
 		}
-		if claim := g.readClaim(1); claim != claimHeld {
-			t.Errorf("the claim on the replaced primary is %d, want %d", claim, claimHeld)
+		if claim := g.readClaim(1); claim != claimOverdue {
+			t.Errorf("the claim on the replaced primary is %d, want %d", claim, claimOverdue)
 		}
 	})
 }
@@ -102,7 +102,7 @@
 		time.Sleep(time.Minute)
 		g := p.newDaemon(t, "d2")
 		g.discover()
-		if g.Ready() || g.readClaim(1) != claimHeld {
+		if g.Ready() || g.readClaim(1) != claimOverdue {
 			t.Errorf("a lease on the old primary may begin: the claim is %d", g.readClaim(1))
 		}
 		if reason := promoteFor(g); reason != "" {
