prove: a write that a frozen daemon performs late is no stale read

TestUsersFrozenDaemon failed once in a whole run: 'read through the resumed daemon: Rows:[between] ..., want new or an error code'. Its logs show the order: the third write of 'between' was forwarded to the frozen daemon (event 504, other-3, home d2, outcome unknown), which kept it in its socket and ran it at the new primary when it went on, after 'new'. The answer has the new primary's signature (i-group-2, 2.5). A write of unknown outcome may run late; the read was right.

The writes that make the daemons notice the outage now go to another item. The check of the read item is as strict as before: it has to be 'new', or an error.

--- a/prove/users_test.go
+++ b/prove/users_test.go
@@ -240,12 +240,12 @@
 	old := s.group.Primary()
 	old.SetPartitioned(true)
 	old.SetUnresponsive(true)
-	if a, err := other.Query("WRITE x between"); err != nil || a.Code == "" { // a failed request is what detects the outage
+	if a, err := other.Query("WRITE probe x"); err != nil || a.Code == "" { // a failed request is what detects the outage
 		t.Fatalf("write to an unreachable primary: %+v, %v, want an error code", a, err)
 	}
 	s.waitFor("another primary", func() bool { // the first request may have failed at the frozen daemon, which detects nothing
 		before := s.group.Primary()
-		if a, err := other.Query("WRITE x between"); before == old && s.group.Primary() == old && (err != nil || a.Code == "") {
+		if a, err := other.Query("WRITE probe x"); before == old && s.group.Primary() == old && (err != nil || a.Code == "") {
 			t.Fatalf("write to an unreachable primary: %+v, %v, want an error code", a, err)
 		}
 		return s.group.Primary() != old
