An answer does not wait for a lease that has ended

Cause: a lease that a newer term, a refused write or the primary's removal ended did not wake the answers that waited for its renewal. Callers waited until their deadlines for what was known at once.

Evidence: TestEndedLeaseEndsTheWait failed in both cases: 'waited 3s'.

Change: both ends of a lease notify the waiting answers, as its release does.

--- a/targets/discover.go
+++ b/targets/discover.go
@@ -199,6 +199,7 @@
 	if term > g.lease.Term() && g.lease.Term() != 0 && !g.lease.Closed() {
 		g.logEnded("member " + member + " reported a newer term")
 		g.lease.Close() // reports of the newer term that were requested before count
+		g.notifyChanged()
 		g.wakeLoop()
 	}
 }
--- a/targets/renew.go
+++ b/targets/renew.go
@@ -40,6 +40,7 @@
 func (g *Group) endLease(reason string, now citronusher.Instant) {
 	g.logEnded(reason)
 	g.lease.Release(now)
+	g.notifyChanged()
 	g.wakeLoop()
 }
 
