A primary that nobody adopted before it ended is replaced

Cause: a daemon that had heard of a term, but had not adopted its primary before that one ended, took the primary that it had used before for the one to replace, and the real one for a replica that does not answer and may renew leases.

Evidence: TestUnadoptedPrimaryIsReplaced failed: 'abandoned: member b does not answer and may renew leases'.

Change: the primary that was adopted counts only for its own term. For a later one the claim's row names the member whose promotion was requested; otherwise the primary is unknown.

--- a/targets/claim.go
+++ b/targets/claim.go
@@ -26,9 +26,7 @@
 		return m.deferClaim(read, era, claimableAt.Sub(now))
 	}
 	next := promotion.NextClaim(read, era, g.set.holder, m.term)
-	if next.Term > m.term {
-		m.term, m.primary = next.Term, "" // a primary that this instance does not know
-	}
+	m.identifyPrimary(read, next.Term)
 	if m.claim, err = g.set.config.Store.WriteClaim(ctx, g.name, read.Version, next); err != nil {
 		return "the claim could not be written: " + err.Error()
 	}
@@ -45,6 +43,22 @@
 	return ""
 }
 
+// identifyPrimary sets the term that is replaced and, as far as this instance or the claim that was read knows it, the primary
+// of that term.
+func (m *promotionAttempt) identifyPrimary(read citronusher.Claim, term uint64) {
+	m.term = term
+	m.group.mu.Lock()
+	adopted := m.group.lease.Term()
+	m.group.mu.Unlock()
+	switch {
+	case adopted == term:
+	case read.Phase == citronusher.ClaimRequested && read.Term+1 == term:
+		m.primary = read.Candidate
+	default:
+		m.primary = ""
+	}
+}
+
 // deferClaim sets when the group's claim is tried again, as it cannot be replaced within wait, and returns the reason.
 func (m *promotionAttempt) deferClaim(read citronusher.Claim, era citronusher.StoreEra, wait time.Duration) string {
 	if read.Era == era.Number {
