A member that started again without its log is not promoted

Cause: the member whose promotion was requested without an answer was requested again by whoever claimed the group next, whatever its log. One that had started again under its ID holds nothing: its promotion would lose every acknowledged commit, although another replica has them.

Change: the claim's row has the end of the member's log when its promotion was requested first. With less than that the member counts like any other: the longest log is promoted.

--- a/plan.go
+++ b/plan.go
@@ -112,6 +112,14 @@
 	ClaimRequested ClaimPhase = "requested"
 )
 
+// Candidate is a member whose promotion is requested.
+type Candidate struct {
+	// ID names the member.
+	ID string
+	// Position is the end of its log when its promotion was requested first.
+	Position Position
+}
+
 // Claim is a daemon's exclusive permission to promote a member of a group. It is a row in the store.
 type Claim struct {
 	// Holder names the daemon's process.
@@ -128,7 +136,7 @@
 	// Phase is how far the holder may have come.
 	Phase ClaimPhase
 	// Candidate is the member whose promotion may have been requested last, in phase ClaimRequested.
-	Candidate string
+	Candidate Candidate
 	// EndMillis is when the claim ends, in milliseconds of the store's clock.
 	EndMillis int64
 	// StoreMillis is the store's clock when it responded, in milliseconds.
--- a/promotion/claim.go
+++ b/promotion/claim.go
@@ -50,11 +50,13 @@
 	return next
 }
 
-// RequestedClaim returns the claim that replaces the holder's own before it requests the member's promotion, when the
+// RequestedClaim returns the claim that replaces the holder's own before it requests the candidate's promotion, when the
 // read request for the claim was sent that long ago. Nobody else can claim the group for ClaimTTL from then on, so that
 // two holders do not take turns.
-func RequestedClaim(claim citronusher.Claim, member string, since time.Duration) citronusher.Claim {
-	claim.Phase, claim.Candidate = citronusher.ClaimRequested, member
+func RequestedClaim(
+	claim citronusher.Claim, candidate citronusher.Candidate, since time.Duration,
+) citronusher.Claim {
+	claim.Phase, claim.Candidate = citronusher.ClaimRequested, candidate
 	claim.EndMillis += since.Milliseconds()
 	return claim
 }
@@ -62,7 +64,7 @@
 // FreedClaim returns the claim that replaces the holder's own when no promotion may take effect that was requested
 // under it or before it.
 func FreedClaim(claim citronusher.Claim) citronusher.Claim {
-	claim.Phase, claim.Candidate = citronusher.ClaimFree, ""
+	claim.Phase, claim.Candidate = citronusher.ClaimFree, citronusher.Candidate{}
 	return claim
 }
 
--- a/targets/claim.go
+++ b/targets/claim.go
@@ -43,8 +43,8 @@
 	return ""
 }
 
-// identifyPrimary sets the term that is replaced and, as far as this instance or the claim that was read knows it, the primary
-// of that term.
+// identifyPrimary sets the term that is replaced and, as far as this instance or the claim that was read knows it, the
+// primary of that term.
 func (m *promotionAttempt) identifyPrimary(read citronusher.Claim, term uint64) {
 	m.term = term
 	m.group.mu.Lock()
@@ -53,7 +53,7 @@
 	switch {
 	case adopted == term:
 	case read.Phase == citronusher.ClaimRequested && read.Term+1 == term:
-		m.primary = read.Candidate
+		m.primary = read.Candidate.ID
 	default:
 		m.primary = ""
 	}
@@ -74,7 +74,7 @@
 
 // markRequest shows in the claim that the candidate's promotion may have been requested, before it is. Without an
 // answer nothing is requested: the mark may come too late, when another instance has replaced the claim.
-func (m *promotionAttempt) markRequest(ctx context.Context, candidate string) string {
+func (m *promotionAttempt) markRequest(ctx context.Context, candidate citronusher.Candidate) string {
 	sentAt := m.group.now()
 	if sentAt > m.requestDeadline {
 		return "the claim is too old to request a promotion"
--- a/targets/platform_test.go
+++ b/targets/platform_test.go
@@ -236,6 +236,13 @@
 	})
 }
 
+// earlierClaim returns the claim of a daemon that has ended, to replace the primary of term by b.
+func earlierClaim(term uint64, phase citronusher.ClaimPhase) citronusher.Claim {
+	return citronusher.Claim{
+		Holder: "d0/1", Era: 1, Version: 1, Term: term, Phase: phase, Candidate: citronusher.Candidate{ID: "b"},
+	}
+}
+
 // newDaemon returns the group of a daemon that uses the platform and has found no primary yet.
 func (p *fakePlatform) newDaemon(t *testing.T, name string) *Group {
 	t.Helper()
--- a/targets/promote_test.go
+++ b/targets/promote_test.go
@@ -113,7 +113,7 @@
 			t.Fatalf("requests %v, want b twice under rising tokens", requests)
 		}
 		for _, r := range requests {
-			if r.claim.Phase != citronusher.ClaimRequested || r.claim.Candidate != r.member || r.claim.Token != r.token {
+			if r.claim.Phase != citronusher.ClaimRequested || r.claim.Candidate.ID != r.member || r.claim.Token != r.token {
 				t.Errorf("%s was requested under the claim %+v", r, r.claim)
 			}
 		}
@@ -171,7 +171,7 @@
 					t.Fatalf("abandoned: %s", reason)
 				}
 				requests := p.requests()
-				if last := requests[len(requests)-1]; last.member != "a" || last.claim.Candidate != "a" {
+				if last := requests[len(requests)-1]; last.member != "a" || last.claim.Candidate.ID != "a" {
 					t.Errorf("requests %v", requests)
 				}
 			})
--- a/targets/request.go
+++ b/targets/request.go
@@ -33,28 +33,35 @@
 			m.resumeReplication()
 			return reason
 		}
-		err := m.sendRequest(ctx, candidate)
+		err := m.sendRequest(ctx, candidate.ID)
 		if err == nil {
-			return m.awaitPrimary(ctx, candidate)
+			return m.awaitPrimary(ctx, candidate.ID)
 		}
 		if m.unrequested || !errors.Is(err, citronusher.ErrConflict) {
-			return "the promotion of " + candidate + " was not confirmed: " + err.Error()
+			return "the promotion of " + candidate.ID + " was not confirmed: " + err.Error()
 		}
-		m.paused = slices.DeleteFunc(m.paused, func(r memberReply) bool { return r.id == candidate })
+		m.paused = slices.DeleteFunc(m.paused, func(r memberReply) bool { return r.id == candidate.ID })
 	}
 }
 
 // chooseCandidate returns the paused member to promote: the one whose promotion may take effect already, so that an
-// earlier request changes nothing when it is performed late, and otherwise the one with the longest log.
-func (m *promotionAttempt) chooseCandidate() (string, bool) {
+// earlier request changes nothing when it is performed late, and otherwise the one with the longest log. A member that has
+// less of its log than when its promotion was requested has started again without it.
+func (m *promotionAttempt) chooseCandidate() (citronusher.Candidate, bool) {
 	list := make([]promotion.Member, 0, len(m.paused))
+	requested := m.claim.Candidate
 	for _, r := range m.paused {
-		if m.claim.Phase == citronusher.ClaimRequested && r.id == m.claim.Candidate {
-			return r.id, true
+		if r.id == requested.ID && !r.status.Position.Less(requested.Position) {
+			return requested, true
 		}
 		list = append(list, promotion.Member{ID: r.id, Position: r.status.Position, Leaving: r.leaving})
 	}
-	return promotion.ChooseCandidate(list)
+	id, ok := promotion.ChooseCandidate(list)
+	i := slices.IndexFunc(list, func(member promotion.Member) bool { return member.ID == id })
+	if !ok {
+		return citronusher.Candidate{}, false
+	}
+	return citronusher.Candidate{ID: id, Position: list[i].Position}, true
 }
 
 // sendRequest requests the candidate's promotion. Its errors are those of Promote.
--- a/targets/successor_test.go
+++ b/targets/successor_test.go
@@ -17,7 +17,7 @@
 		t.Run(string(phase), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				p := newFakePlatform()
-				p.claim = citronusher.Claim{Holder: "d0/1", Era: 1, Version: 1, Term: 2, Phase: phase, Candidate: "b"}
+				p.claim = earlierClaim(2, phase)
 				time.Sleep(time.Minute)
 				g := p.newDaemon(t, "d1")
 				for range 10 {
--- a/targets/thaw_test.go
+++ b/targets/thaw_test.go
@@ -40,8 +40,8 @@
 	return c.MemberConn.ResumeReplication(deadline)
 }
 
-// TestThawedHolderAdoptsNoReplacedPrimary guards against a lease on a replaced primary: its holder was frozen while it resumed
-// the replicas that an earlier one had paused, until another daemon had promoted b, of which c has not heard.
+// TestThawedHolderAdoptsNoReplacedPrimary guards against a lease on a replaced primary: its holder was frozen while it
+// resumed the replicas that an earlier one had paused, until another daemon had promoted b, of which c has not heard.
 func TestThawedHolderAdoptsNoReplacedPrimary(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newFakePlatform()
@@ -49,7 +49,7 @@
 			time.Sleep(10 * time.Second)
 			p.mu.Lock()
 			defer p.mu.Unlock()
-			p.claim.Holder, p.claim.Phase, p.claim.Candidate = "d2/1", citronusher.ClaimRequested, "b"
+			p.claim.Holder, p.claim.Phase, p.claim.Candidate = "d2/1", citronusher.ClaimRequested, citronusher.Candidate{ID: "b"}
 			p.claim.Version++
 			p.members["b"].status.Role, p.members["b"].status.Term = citronusher.RolePrimary, 2
 			p.members["b"].down = true // for the thawed daemon
@@ -62,7 +62,7 @@
 		s.SetRegistered()
 		g := newGroup(s, "g")
 		g.configure(connectionShare{connections: 16, homes: 6, home: true}, p.reports(), 0)
-		p.claim = citronusher.Claim{Holder: "d0/1", Era: 1, Version: 1, Term: 1, Phase: citronusher.ClaimHeld}
+		p.claim = earlierClaim(1, citronusher.ClaimHeld)
 		p.members["b"].status.PausedTerm, p.members["c"].status.PausedTerm = 2, 2
 		time.Sleep(time.Minute)
 		reason := promoteFor(g)
--- a/targets/stale_test.go
+++ b/targets/unadopted_test.go
@@ -8,14 +8,14 @@
 	"citronusher.example/citronusher"
 )
 
-// TestUnadoptedPrimaryIsReplaced guards against a group without a primary: one that a daemon has heard of, but has not adopted,
-// ends. The daemon takes the former one for the primary that is replaced.
+// TestUnadoptedPrimaryIsReplaced guards against a group without a primary: one that a daemon has heard of, but has not
+// adopted, ends. The daemon takes the former one for the primary that is replaced.
 func TestUnadoptedPrimaryIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newFakePlatform()
 		g := p.newDaemon(t, "d1")
 		g.discover()
-		p.claim = citronusher.Claim{Holder: "d0/1", Era: 1, Version: 1, Term: 1, Phase: citronusher.ClaimRequested, Candidate: "b"}
+		p.claim = earlierClaim(1, citronusher.ClaimRequested)
 		if err := p.lead("b"); err != nil {
 			t.Fatal(err)
 		}
--- a/targets/unknown_test.go
+++ b/targets/unknown_test.go
@@ -18,8 +18,8 @@
 	return citronusher.Claim{}, citronusher.ErrUnavailable
 }
 
-// TestUnknownMemberMayLead guards against a lease on a replaced primary at a daemon that the store does not answer: the member
-// that was promoted joined later, and the only replica that the daemon knows has not heard of it.
+// TestUnknownMemberMayLead guards against a lease on a replaced primary at a daemon that the store does not answer: the
+// member that was promoted joined later, and the only replica that the daemon knows has not heard of it.
 func TestUnknownMemberMayLead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newFakePlatform()
@@ -34,7 +34,7 @@
 		g.configure(connectionShare{connections: 16, homes: 6, home: true}, p.reports(), 0)
 		p.members["b"] = joined
 		joined.status = citronusher.MemberStatus{Role: citronusher.RolePrimary, Term: 2}
-		p.claim = citronusher.Claim{Holder: "d2/1", Era: 1, Version: 2, Term: 1, Phase: citronusher.ClaimRequested, Candidate: "b"}
+		p.claim = earlierClaim(1, citronusher.ClaimRequested)
 		time.Sleep(time.Minute)
 		g.discover()
 		if g.Ready() {
--- a/targets/woken_test.go
+++ b/targets/woken_test.go
@@ -7,7 +7,8 @@
 	"time"
 )
 
-// TestEndedLeaseEndsTheWait guards against an answer that is held back until its deadline although the lease cannot be renewed.
+// TestEndedLeaseEndsTheWait guards against an answer that is held back until its deadline although the lease cannot be
+// renewed.
 func TestEndedLeaseEndsTheWait(t *testing.T) {
 	for name, end := range map[string]func(*Group){
 		"newer term": func(g *Group) { g.observeTerm(2, "b") },
