Stand-in: a member that closes does not wait for open portals

Cause: cleanUp closed the engine's connection while a portal's result was open, and database/sql waits for that. A portal that Bind replaced, or that Close closed, kept its result as well. Member.Close, which tests call at their end, never returned.

Before, `go test -timeout 20s ./standin/member` with the new script of late.txt: 'panic: test timed out after 20s ... TestLateCommands', in member.Close. With results closed in cleanUp alone it timed out as well, on the replaced portal.

Now cleanUp, Bind and Close close the portal that they end. `go test -timeout 30s ./standin/member`: ok, 3.9 s.

--- a/standin/member/execute.go
+++ b/standin/member/execute.go
@@ -158,10 +158,9 @@
 
 // endImplicit commits the implicit transaction, if one is open. Outside a transaction it also closes open results.
 func (s *session) endImplicit(ctx context.Context) error {
-	for _, p := range s.portals {
-		if p.rows != nil && s.status == statusIdle {
-			_ = p.rows.rows.Close()
-			p.rows = nil
+	if s.status == statusIdle {
+		for _, p := range s.portals {
+			p.close()
 		}
 	}
 	if !s.implicit {
--- a/standin/member/late_test.go
+++ b/standin/member/late_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"golang.org/x/sync/errgroup"
 
 	"citronusher.example/citronusher"
@@ -107,19 +108,60 @@
 	return fmt.Sprintf("%s of term %d, log %s", state.Role(), state.Term(), state.Position())
 }
 
-// write commits one row through a connection of the daemon, which stays open.
+// conn returns the daemon's connection for statements, which stays open.
+func (s *lateScript) conn(daemon string) (*pg.Conn, error) {
+	if conn := s.conns[daemon]; conn != nil {
+		return conn, nil
+	}
+	conn, err := pg.NewLogin("u", "p", daemon, nil).Dial(s.t.Context(), s.address, testDatabase)
+	if err != nil {
+		return nil, err
+	}
+	s.conns[daemon] = conn
+	s.t.Cleanup(func() { _ = conn.Close() })
+	return conn, nil
+}
+
+// write commits one row through the daemon's connection.
 func (s *lateScript) write(ctx context.Context, daemon string, statements []string) string {
-	conn := s.conns[daemon]
-	if conn == nil {
-		var err error
-		conn, err = pg.NewLogin("u", "p", daemon, nil).Dial(s.t.Context(), s.address, testDatabase)
+	conn, err := s.conn(daemon)
+	if err != nil {
+		return "no connection"
+	}
+	_, answer, err := conn.Query(ctx, strings.Join(statements, " "))
+	return outcome(answer, err)
+}
+
+// page reads the first row of an unnamed portal through the daemon's connection.
+func (s *lateScript) page(ctx context.Context, daemon string, statement []string) string {
+	conn, err := s.conn(daemon)
+	if err != nil {
+		return "no connection"
+	}
+	messages := []pgproto3.FrontendMessage{
+		&pgproto3.Parse{Query: strings.Join(statement, " ")}, &pgproto3.Bind{}, &pgproto3.Execute{MaxRows: 1}, &pgproto3.Sync{},
+	}
+	kinds := []byte{pg.StepParse, pg.StepBind, pg.StepExecute, pg.StepSync}
+	var exchange citronusher.Exchange
+	for i, message := range messages {
+		raw, err := message.Encode(nil)
 		if err != nil {
-			return "no connection"
+			s.t.Fatal(err)
 		}
-		s.conns[daemon] = conn
-		s.t.Cleanup(func() { _ = conn.Close() })
+		exchange.Messages = append(exchange.Messages, citronusher.Message{Kind: kinds[i], Raw: raw})
 	}
-	_, answer, err := conn.Query(ctx, strings.Join(statements, " "))
+	rows := 0
+	answer, err := conn.Run(ctx, exchange, func(raw []byte) error {
+		if raw[0] == 'D' {
+			rows++
+		}
+		return nil
+	})
+	return strings.TrimSpace(fmt.Sprintf("%d rows %s", rows, outcome(answer, err)))
+}
+
+// outcome returns the command tag of an answer, or its error.
+func outcome(answer pg.Answer, err error) string {
 	switch {
 	case err != nil:
 		return "unanswered"
@@ -129,7 +171,7 @@
 	return answer.CommandTag
 }
 
-// line runs one line: hold PEERS, go on, restart, or DAEMON COMMAND, or DAEMON sql STATEMENT.
+// line runs one line: hold PEERS, go on, restart, or DAEMON COMMAND, or DAEMON sql STATEMENT, or DAEMON page STATEMENT.
 func (s *lateScript) line(text string) string {
 	fields := strings.Fields(text)
 	switch fields[0] {
@@ -154,9 +196,12 @@
 		defer cancel()
 	}
 	result := ""
-	if fields[1] == "sql" {
+	switch fields[1] {
+	case "sql":
 		result = s.write(ctx, fields[0], fields[2:])
-	} else {
+	case "page":
+		result = s.page(ctx, fields[0], fields[2:])
+	default:
 		result = s.command(ctx, fields[0], fields[1:])
 	}
 	return fmt.Sprintf("%s: %s\n", fields[0], result)
--- a/standin/member/rows.go
+++ b/standin/member/rows.go
@@ -45,8 +45,7 @@
 	for limit == 0 || count < int64(limit) {
 		if !source.rows.Next() {
 			err := source.rows.Err()
-			_ = source.rows.Close()
-			p.rows = nil
+			p.close()
 			if err != nil {
 				return s.abort(ctx, err)
 			}
@@ -59,8 +58,7 @@
 		count++
 		if count%rowsPerFlush == 0 {
 			if err := ctx.Err(); err != nil {
-				_ = source.rows.Close()
-				p.rows = nil
+				p.close()
 				return s.abort(ctx, err)
 			}
 			if err := s.backend.Flush(); err != nil {
--- a/standin/member/session.go
+++ b/standin/member/session.go
@@ -34,6 +34,15 @@
 	rows    *rowSource
 }
 
+// close closes the open result, if there is one.
+func (p *portal) close() {
+	if p.rows == nil {
+		return
+	}
+	_ = p.rows.rows.Close()
+	p.rows = nil
+}
+
 // session is one connection of a caller or of a group member.
 type session struct {
 	member   *Member
@@ -128,8 +137,11 @@
 	return s.backend.Flush() == nil
 }
 
-// cleanUp rolls back an open transaction and unregisters the session.
+// cleanUp closes the portals, rolls back an open transaction and unregisters the session.
 func (s *session) cleanUp(ctx context.Context) {
+	for name := range s.portals {
+		s.closePortal(name)
+	}
 	if s.engine != nil {
 		_, _ = s.engine.ExecContext(context.WithoutCancel(ctx), "ROLLBACK")
 		_ = s.engine.Close()
@@ -208,6 +220,8 @@
 	case *pgproto3.Close:
 		if m.ObjectType == 'S' {
 			delete(s.prepared, m.Name)
+		} else {
+			s.closePortal(m.Name)
 		}
 		s.backend.Send(&pgproto3.CloseComplete{})
 	}
@@ -299,11 +313,20 @@
 	for i, parameter := range m.Parameters {
 		args[i] = argument(parameter)
 	}
+	s.closePortal(m.DestinationPortal)
 	s.portals[m.DestinationPortal] = &portal{query: query, args: args, formats: m.ResultFormatCodes}
 	s.backend.Send(&pgproto3.BindComplete{})
 	return nil
 }
 
+// closePortal closes and forgets a portal, if there is one of that name.
+func (s *session) closePortal(name string) {
+	if p := s.portals[name]; p != nil {
+		p.close()
+		delete(s.portals, name)
+	}
+}
+
 func (s *session) describe(ctx context.Context, m *pgproto3.Describe) error {
 	query := s.prepared[m.Name]
 	var formats []int16
