A page of a cursor beside BEGIN or ROLLBACK is confirmed

Cause: a portal with a row limit ends with PortalSuspended, without a command tag. complete took an answer with one tag, BEGIN or ROLLBACK, for the lone tag and passed it on without confirmation, although rows came with it. A caller with a fetch size read what a superseded primary held, and was told that it ran.

pg.Answer.Shown counts each message that tells something of the target's data beside a tag: rows, PortalSuspended, descriptions, copied data, notices. Only a lone tag that shows nothing is passed on without confirmation.

--- a/home/superseded_test.go
+++ b/home/superseded_test.go
@@ -30,6 +30,8 @@
 	setupDeadline = 20 * time.Second
 	readDeadline  = 400 * time.Millisecond // of a request that can't be confirmed
 	never         = 24 * time.Hour
+	stepPage      = 'p' // kind of an exchange that begins a transaction and reads a page; no message has it
+	stepLast      = 'l' // kind of an exchange that reads a page and rolls back; no message has it
 )
 
 type systemClock struct{}
@@ -189,6 +191,12 @@
 // exchange returns a simple query, or for other kinds than StepQuery a prepared statement that ends with Sync or Flush.
 func exchange(t *testing.T, kind byte, sql string) citronusher.Exchange {
 	t.Helper()
+	switch kind {
+	case stepPage:
+		return join(exchange(t, pg.StepSync, "BEGIN"), page(t, sql))
+	case stepLast:
+		return join(page(t, sql), exchange(t, pg.StepSync, "ROLLBACK"))
+	}
 	messages := []pgproto3.FrontendMessage{&pgproto3.Query{String: sql}}
 	kinds := []byte{pg.StepQuery}
 	if kind != pg.StepQuery {
@@ -217,6 +225,29 @@
 	return e
 }
 
+// page returns an exchange that reads the first row of a prepared statement's portal.
+func page(t *testing.T, sql string) citronusher.Exchange {
+	t.Helper()
+	e := exchange(t, pg.StepSync, sql)
+	for i, m := range e.Messages {
+		if m.Kind != pg.StepExecute {
+			continue
+		}
+		raw, err := (&pgproto3.Execute{MaxRows: 1}).Encode(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		e.Messages[i].Raw = raw
+	}
+	return e
+}
+
+// join returns one exchange with the messages of two, up to the Sync of the second.
+func join(first, second citronusher.Exchange) citronusher.Exchange {
+	messages := first.Messages[:len(first.Messages)-1]
+	return citronusher.Exchange{Messages: append(messages, second.Messages...)}
+}
+
 // answerText collects the first value of each row that reaches the caller.
 type answerText struct{ values []string }
 
@@ -243,7 +274,7 @@
 }
 
 // line runs one line of a script: supersede, CONNECTION close, or CONNECTION HOW SQL, where HOW is query, prepared, flush,
-// or marked.
+// page, last, or marked.
 func (s *groupScript) line(text string) string {
 	if text == "supersede" {
 		s.supersede()
@@ -262,6 +293,10 @@
 		kind = pg.StepSync
 	case "flush":
 		kind = pg.StepExecute
+	case "page": // BEGIN and the first row of a prepared statement, in one exchange
+		kind = stepPage
+	case "last": // the first row of a prepared statement and ROLLBACK, in one exchange
+		kind = stepLast
 	case "marked":
 		id, profileName = "request-"+name, profile.Never
 	}
--- a/home/work.go
+++ b/home/work.go
@@ -244,7 +244,7 @@
 
 // onlyTag reports whether the target answered with the given command tag and nothing else.
 func onlyTag(answer pg.Answer, tag string) bool {
-	return answer.Commands == 1 && answer.CommandTag == tag && answer.ErrorCode == ""
+	return answer.Commands == 1 && answer.CommandTag == tag && answer.Shown == 0 && answer.ErrorCode == ""
 }
 
 // confirmed waits for the confirmation of all that ran before the call, and returns the end of the primary's log. With
--- a/pg/exchange.go
+++ b/pg/exchange.go
@@ -30,6 +30,8 @@
 	CommandTag string
 	// Commands is the number of command tags.
 	Commands int
+	// Shown is the number of other messages passed on that tell something of the target's data, such as rows.
+	Shown int
 }
 
 // expectedAnswer is an answer that is still missing, from the target or from the connection itself.
@@ -198,6 +200,9 @@
 		if expected, hidden = matchAnswer(expected, message); hidden {
 			continue
 		}
+		if shows(message) {
+			answer.Shown++
+		}
 		raw, err := message.Encode(nil)
 		if err != nil {
 			return answer, fmt.Errorf("encode: %w", err)
@@ -208,6 +213,18 @@
 	}
 }
 
+// shows reports whether a message tells something of the target's data beside a command tag. Rows do, and PortalSuspended,
+// which ends a page of rows without a tag.
+func shows(message pgproto3.BackendMessage) bool {
+	switch message.(type) {
+	case *pgproto3.CommandComplete, *pgproto3.EmptyQueryResponse:
+		return false
+	case *pgproto3.ParseComplete, *pgproto3.BindComplete, *pgproto3.CloseComplete, *pgproto3.NoData:
+		return false
+	}
+	return true
+}
+
 // sendLocalAnswers passes on the answers to messages that were not sent to the target, up to the next one that was.
 func (c *Conn) sendLocalAnswers(expected []expectedAnswer, sink citronusher.Sink) ([]expectedAnswer, error) {
 	for len(expected) > 0 && expected[0].localAnswer != nil && !c.discarding {
