A request is settled only when its member leads

Cause: a request in a claim's row counted as settled by any newer term. When an earlier request, which had not been answered and whose member had led and been replaced since, took effect late, its member led the newer term for a moment, before the member of the present request did.

Change: a request is pending until its own member leads a later term. While another one leads, no lease begins and the marked member is requested again. A promoter's own claim proves a lease on the member that it requested, and on no other.

--- a/promotion/claim.go
+++ b/promotion/claim.go
@@ -37,14 +37,22 @@
 	}
 }
 
+// Primary is a group's primary of a term.
+type Primary struct {
+	// Term is the term.
+	Term uint64
+	// ID names the member; empty when it is not known.
+	ID string
+}
+
 // NextClaim returns the claim by which self replaces the one that was read from the store in era, to replace the
-// primary of term, or of a later term that the replaced claim names.
-func NextClaim(read citronusher.Claim, era citronusher.StoreEra, self string, term uint64) citronusher.Claim {
+// primary, or that of a later term that the replaced claim names.
+func NextClaim(read citronusher.Claim, era citronusher.StoreEra, self string, primary Primary) citronusher.Claim {
 	next := citronusher.Claim{
-		Holder: self, Era: era.Number, Term: max(term, read.Term), Phase: citronusher.ClaimHeld,
+		Holder: self, Era: era.Number, Term: max(primary.Term, read.Term), Phase: citronusher.ClaimHeld,
 		EndMillis: read.StoreMillis + ClaimTTL.Milliseconds(),
 	}
-	if Pending(read, next.Term) {
+	if Pending(read, primary) {
 		next.Phase, next.Candidate = citronusher.ClaimRequested, read.Candidate
 	}
 	return next
@@ -68,17 +76,19 @@
 	return claim
 }
 
-// Pending reports whether the claim shows that the promotion of a successor to the primary of term may take effect, now
-// or at any later time.
-func Pending(read citronusher.Claim, term uint64) bool {
-	return read.Phase == citronusher.ClaimRequested && read.Term >= term
+// Pending reports whether the claim shows that the promotion of a successor to the primary may take effect, now or at any
+// later time. A request has taken effect once its candidate leads a later term; a primary of a later term that is
+// another member follows from an earlier request.
+func Pending(read citronusher.Claim, primary Primary) bool {
+	another := primary.ID != "" && primary.ID != read.Candidate.ID
+	return read.Phase == citronusher.ClaimRequested && (read.Term >= primary.Term || another)
 }
 
 // Unrequested reports whether the claim that was read from the store in era shows that no promotion of a successor to
-// the primary of term may take effect, once the claim was replaced. One that was not written in that era does not,
-// because the store may have lost a later one.
-func Unrequested(read citronusher.Claim, era citronusher.StoreEra, term uint64) bool {
-	return read.Era == era.Number && !Pending(read, term)
+// the primary may take effect, once the claim was replaced. One that was not written in that era does not, because the
+// store may have lost a later one.
+func Unrequested(read citronusher.Claim, era citronusher.StoreEra, primary Primary) bool {
+	return read.Era == era.Number && !Pending(read, primary)
 }
 
 // FreeClaim returns the claim by which self records in era that nobody has replaced the primary of term, in place of
--- a/promotion/claim_test.go
+++ b/promotion/claim_test.go
@@ -16,7 +16,7 @@
 	claimable := func(claim citronusher.Claim, self string) bool {
 		return promotion.ClaimableAt(claim, era, self, now) <= now
 	}
-	claim := promotion.NextClaim(citronusher.Claim{StoreMillis: 1000}, era, "d1", 1)
+	claim := promotion.NextClaim(citronusher.Claim{StoreMillis: 1000}, era, "d1", promotion.Primary{Term: 1})
 	claim.StoreMillis = 1000
 	if claimable(claim, "d2") {
 		t.Error("d2 may replace a claim that d1 just made")
@@ -54,7 +54,7 @@
 	if promotion.ClaimableAt(lastClaim, seen, "d2", later) != later {
 		t.Error("d2 may not claim the group when every lost claim has ended")
 	}
-	inEra := promotion.NextClaim(lastClaim, seen, "d1", 1)
+	inEra := promotion.NextClaim(lastClaim, seen, "d1", promotion.Primary{Term: 1})
 	inEra.StoreMillis = inEra.EndMillis
 	if promotion.ClaimableAt(inEra, seen, "d2", now) != now {
 		t.Error("d2 may not replace a claim of this era that has ended")
@@ -126,8 +126,8 @@
 func TestClaimTermNeverGoesBack(t *testing.T) {
 	const term = 4
 	era := citronusher.StoreEra{Number: 2}
-	read := promotion.NextClaim(citronusher.Claim{Era: 2}, era, "d1", term)
-	next := promotion.NextClaim(read, era, "d2", 0)
+	read := promotion.NextClaim(citronusher.Claim{Era: 2}, era, "d1", promotion.Primary{Term: term})
+	next := promotion.NextClaim(read, era, "d2", promotion.Primary{})
 	if next.Term != term || promotion.Unclaimed(next, era, term) {
 		t.Errorf("the claim on term %d was replaced by one on term %d", term, next.Term)
 	}
--- a/targets/claim.go
+++ b/targets/claim.go
@@ -25,7 +25,8 @@
 	if claimableAt := promotion.ClaimableAt(read, era, g.set.holder, now); claimableAt > now {
 		return m.deferClaim(read, era, claimableAt.Sub(now))
 	}
-	next := promotion.NextClaim(read, era, g.set.holder, m.term)
+	replaced := promotion.Primary{Term: m.term, ID: m.primary}
+	next := promotion.NextClaim(read, era, g.set.holder, replaced)
 	m.identifyPrimary(read, next.Term)
 	if m.claim, err = g.set.config.Store.WriteClaim(ctx, g.name, read.Version, next); err != nil {
 		return "the claim could not be written: " + err.Error()
@@ -33,7 +34,7 @@
 	m.found = m.claim
 	m.claimReadAt = sentAt
 	m.requestDeadline, m.claimDeadline = promotion.RequestDeadline(sentAt), promotion.ClaimDeadline(sentAt)
-	m.unrequested = promotion.Unrequested(read, era, m.term)
+	m.unrequested = promotion.Unrequested(read, era, replaced)
 	listedAt := g.now()
 	members, err := g.set.config.Store.Members(ctx)
 	if err != nil {
--- a/targets/discover.go
+++ b/targets/discover.go
@@ -7,6 +7,7 @@
 	"citronusher.example/citronusher"
 	"citronusher.example/citronusher/events"
 	"citronusher.example/citronusher/lease"
+	"citronusher.example/citronusher/promotion"
 )
 
 const (
@@ -149,7 +150,7 @@
 	if p.newest == 0 || l.Closed() || l.Valid(g.now()) {
 		return g.adoptWith(replies, claimHeld)
 	}
-	return g.adoptWith(g.addClaim(found.status.Term, replies, p.complete))
+	return g.adoptWith(g.addClaim(promotion.Primary{Term: found.status.Term, ID: found.id}, replies, p.complete))
 }
 
 // adoptWith is adopt for a caller that knows the state of the claim at a time after the reports were requested; with
--- a/targets/establish.go
+++ b/targets/establish.go
@@ -98,8 +98,10 @@
 // addClaim returns reports with the state of the claim that was read after them, with which they may establish a lease of
 // the term. A claim in an unknown state makes it request the reports of all members once more: a replica that restarted may
 // have forgotten a pause when it reported, and another one may have lost it later, when the promotion took effect.
-func (g *Group) addClaim(term uint64, replies []memberReply, complete bool) ([]memberReply, claimState) {
-	claim := g.readClaim(term)
+func (g *Group) addClaim(
+	primary promotion.Primary, replies []memberReply, complete bool,
+) ([]memberReply, claimState) {
+	claim := g.readClaim(primary)
 	switch {
 	case claim != claimUnknown:
 		return replies, claim
@@ -119,18 +121,18 @@
 	return l
 }
 
-// readClaim returns what the store shows about the promotion of a successor to the primary of the term.
-func (g *Group) readClaim(term uint64) claimState {
+// readClaim returns what the store shows about the promotion of a successor to the primary.
+func (g *Group) readClaim(primary promotion.Primary) claimState {
 	ctx, cancel := context.WithTimeout(g.set.ctx, claimReadTimeout)
 	defer cancel()
 	read, err := g.set.config.Store.ReadClaim(ctx, g.name)
 	era := g.set.config.Store.Era()
 	switch {
-	case err == nil && (promotion.Pending(read, term) || promotion.Superseded(read, term)):
+	case err == nil && (promotion.Pending(read, primary) || promotion.Superseded(read, primary.Term)):
 		return claimOverdue
 	case err != nil, read.Era != era.Number:
 		return claimUnknown
-	case promotion.Unclaimed(read, era, term):
+	case promotion.Unclaimed(read, era, primary.Term):
 		return claimFree
 	case promotion.Ended(read):
 		return claimUnknown
@@ -150,7 +152,7 @@
 	trial := g.lease
 	complete := g.observeReports(&trial, primary, replies, g.now()).complete
 	g.mu.Unlock()
-	replies, claim := g.addClaim(term, replies, complete)
+	replies, claim := g.addClaim(promotion.Primary{Term: term, ID: primary}, replies, complete)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.lease.Term() != term || g.primary != primary {
--- a/targets/promote_test.go
+++ b/targets/promote_test.go
@@ -69,10 +69,10 @@
 		if reason := promoteFor(g); reason != "the primary answers" {
 			t.Fatalf("abandoned: %q", reason)
 		}
-		if claim := g.readClaim(2); claim != claimFree {
+		if claim := g.readClaim(promotion.Primary{Term: 2, ID: "b"}); claim != claimFree {
 			t.Errorf("the claim on the successor is %d, want %d", claim, claimFree)
 		}
-		if claim := g.readClaim(1); claim != claimOverdue {
+		if claim := g.readClaim(promotion.Primary{Term: 1, ID: "a"}); claim != claimOverdue {
 			t.Errorf("the claim on the replaced primary is %d, want %d", claim, claimOverdue)
 		}
 	})
@@ -102,8 +102,8 @@
 		time.Sleep(time.Minute)
 		g := p.newDaemon(t, "d2")
 		g.discover()
-		if g.Ready() || g.readClaim(1) != claimOverdue {
-			t.Errorf("a lease on the old primary may begin: the claim is %d", g.readClaim(1))
+		if g.Ready() || g.readClaim(promotion.Primary{Term: 1, ID: "a"}) != claimOverdue {
+			t.Errorf("a lease on the old primary may begin: the claim is %d", g.readClaim(promotion.Primary{Term: 1, ID: "a"}))
 		}
 		if reason := promoteFor(g); reason != "" {
 			t.Errorf("abandoned: %s", reason)
--- a/targets/request.go
+++ b/targets/request.go
@@ -89,11 +89,13 @@
 // requestAge returns the time since the promotion was requested, in milliseconds.
 func (m *promotionAttempt) requestAge() int64 { return m.group.now().Sub(m.requestedAt).Milliseconds() }
 
-// adoptPromoted adopts the promoted member. While the claim lasts, nobody else can replace it.
+// adoptPromoted adopts the promoted member. While the claim lasts, nobody else can replace it. Another member that leads a
+// later term follows from an earlier request, so that the one for the promoted member may still take effect.
 func (m *promotionAttempt) adoptPromoted() {
 	g := m.group
 	replies := g.queryUp(requestStatus)
-	if g.now() < m.claimDeadline {
+	found := reportedPrimary(replies)
+	if found != nil && found.id == m.claim.Candidate.ID && g.now() < m.claimDeadline {
 		g.adoptWith(replies, claimFree)
 		return
 	}
