PostgreSQL: rows are confirmed after their statement has begun

Cause: the buffer of a long answer counted a statement as confirmed when the confirmation came on its description, before its first row. The rows that followed were read at a later time: a superseded primary's could reach the caller.

Evidence: TestRowsAreVerifiedAfterTheyBegan failed: 'rows of the second statement were passed on, verified when 0 of them had arrived'.

Change: the first row of a statement makes a confirmation due again.

--- a/home/holder.go
+++ b/home/holder.go
@@ -12,7 +12,8 @@
 	check    func() error // verifies the statements that have begun to answer
 	buffered []byte
 	streamed bool
-	checked  bool // the statement that is answering was verified after its first row
+	begun    bool // the statement that is answering has returned a row
+	checked  bool // it was verified after that row
 }
 
 // write adds encoded messages. If the buffer would exceed the limit, it first verifies its content and passes it to the
@@ -27,13 +28,19 @@
 		}
 		h.streamed = true
 	}
-	if endsStatement(raw) {
-		h.checked = false
+	switch {
+	case endsStatement(raw):
+		h.begun, h.checked = false, false
+	case raw[0] == dataRow && !h.begun:
+		h.begun, h.checked = true, false
 	}
 	h.buffered = append(h.buffered, raw...)
 	return nil
 }
 
+// dataRow is the type of the message that holds a row.
+const dataRow = 'D'
+
 // endsStatement reports whether another statement may answer after a message: a command tag, an error or PortalSuspended.
 func endsStatement(raw []byte) bool { return raw[0] == 'C' || raw[0] == 'E' || raw[0] == 's' }
 
@@ -57,4 +64,4 @@
 }
 
 // discard removes the buffered messages.
-func (h *answerBuffer) discard() { h.buffered, h.checked = h.buffered[:0], false }
+func (h *answerBuffer) discard() { h.buffered, h.begun, h.checked = h.buffered[:0], false, false }
