--- a/plan.go
+++ b/plan.go
@@ -78,8 +78,8 @@
 	BornMillis int64
 }
 
-// StoreEra is a span of time in which the store loses nothing that it acknowledged. An era ends when the store returns
-// from an older copy: what was written since the copy is gone, and versions are given out again.
+// StoreEra is a span of time in which the store loses nothing that it acknowledged. An era ends when the store returns from
+// an older copy: what was written since the copy is gone, and versions are given out again.
 type StoreEra struct {
 	// Number increases by one with each era; 0 when the store has no eras.
 	Number uint64
@@ -151,25 +151,24 @@
 	// Plan returns the newest plan and the store's version of it, also with ErrInvalid, when that plan is invalid.
 	Plan(ctx context.Context) (Plan, StoreVersion, error)
 	// WaitForPlan waits for a plan that is newer than the store's version after. found is false when none appeared. With
-	// ErrInvalid the newest plan is invalid, and version is past it; found may be an older one. When the store is in
-	// another era it returns the newest plan.
+	// ErrInvalid the newest plan is invalid, and version is past it; found may be an older one. When the store is in another
+	// era it returns the newest plan.
 	WaitForPlan(ctx context.Context, after StoreVersion) (plan Plan, found bool, version StoreVersion, err error)
 	// Members returns the members of all groups.
 	Members(ctx context.Context) ([]MemberReport, error)
 	// Instances returns the registered daemons, those that are leaving included.
 	Instances(ctx context.Context) ([]Instance, error)
 	// SomeInstances returns registered daemons at the cost of one call. complete is false when the part of the store that
-	// keeps most of them did not respond, so that the list may lack any of them; it always may lack daemons that
-	// registered during such an outage.
+	// keeps most of them did not respond, so that the list may lack any of them; it always may lack daemons that registered
+	// during such an outage.
 	SomeInstances(ctx context.Context) (list []Instance, complete bool, err error)
-	// Register adds a daemon to the registered ones, or replaces the registration that an earlier process of its name
-	// left.
+	// Register adds a daemon to the registered ones, or replaces the registration that an earlier process of its name left.
 	Register(ctx context.Context, instance Instance) error
 	// Replicate registers a registered daemon in every other part of the store that keeps daemons, so that it is found
 	// while some of them are down.
 	Replicate(ctx context.Context, instance Instance) error
-	// Deregister removes a daemon from the registered ones. Before that it is listed as leaving, and it is removed only if
-	// it has not registered again since. A daemon that is listed as live is not removed by a call that is performed late.
+	// Deregister removes a daemon from the registered ones. Before that it is listed as leaving, and it is removed only if it
+	// has not registered again since. A daemon that is listed as live is not removed by a call that is performed late.
 	Deregister(ctx context.Context, instance Instance) error
 	// ReadClaim returns the claim on a group.
 	ReadClaim(ctx context.Context, group string) (Claim, error)
@@ -179,8 +178,8 @@
 
 // Promoter requests promotions from the platform.
 type Promoter interface {
-	// Promote requests that the member becomes the group's primary, under the claim, unless the deadline has passed when
-	// the request could be sent. When it returns, no request of this call is still in progress.
+	// Promote requests that the member becomes the group's primary, under the claim, unless the deadline has passed when the
+	// request could be sent. When it returns, no request of this call is still in progress.
 	Promote(ctx context.Context, deadline Instant, group, member string, claim Claim) error
 }
 
--- a/promotion/claim_test.go
+++ b/promotion/claim_test.go
@@ -37,8 +37,8 @@
 	}
 }
 
-// TestLostClaimsExclude guards against two daemons that promote at once because the store lost the claim of one of
-// them: in a new era a claim is written only when each claim of the earlier era has ended.
+// TestLostClaimsExclude guards against two daemons that promote at once because the store lost the claim of one of them: in
+// a new era a claim is written only when each claim of the earlier era has ended.
 func TestLostClaimsExclude(t *testing.T) {
 	const now = citronusher.Instant(time.Minute)
 	lastClaim := citronusher.Claim{Holder: "d1", Era: 1, EndMillis: 1, StoreMillis: 2}
@@ -85,8 +85,8 @@
 	}
 }
 
-// TestOnlyAFreeClaimProvesALease guards against a lease on a primary whose successor may have been promoted: a claim on
-// its term, one that the store may have lost, and one that ended only now prove nothing.
+// TestOnlyAFreeClaimProvesALease guards against a lease on a primary whose successor may have been promoted: a claim on its
+// term, one that the store may have lost, and one that ended only now prove nothing.
 func TestOnlyAFreeClaimProvesALease(t *testing.T) {
 	const term = 4
 	era := citronusher.StoreEra{Number: 2}
--- a/promotion/promotion.go
+++ b/promotion/promotion.go
@@ -1,5 +1,4 @@
-// Package promotion decides how a group's primary is replaced: which daemon may do it, when, and which member is
-// promoted.
+// Package promotion decides how a group's primary is replaced: which daemon may do it, when, and which member is promoted.
 //
 // One daemon at a time holds the claim on a group, a row in the platform's store that is written conditionally. The
 // claim's token increases with each write. When the store has returned from an older copy, claims may be lost; daemons
@@ -70,8 +69,8 @@
 	Leaving bool
 }
 
-// ChooseCandidate returns the ID of the member to promote: the one with the latest position, ties broken by the lower
-// ID. Leaving members are considered only when all members are leaving. It returns false when members is empty.
+// ChooseCandidate returns the ID of the member to promote: the one with the latest position, ties broken by the lower ID.
+// Leaving members are considered only when all members are leaving. It returns false when members is empty.
 func ChooseCandidate(members []Member) (string, bool) {
 	var best *Member
 	for i := range members {
