standin/users: a thawed member performs what it kept before what comes later

The cause is the stand-in: those that wait for the thaw competed for the mutex with whoever came after it. Now they get it first, in the order in which they came, so that the script always plays its case. The script and what it expects are unchanged.

--- a/standin/users/freeze_test.go
+++ b/standin/users/freeze_test.go
@@ -61,6 +61,28 @@
 	}
 }
 
+// TestThawedMemberPerformsKeptFirst guards against a command that comes after a member went on and is performed before what
+// the member has kept.
+func TestThawedMemberPerformsKeptFirst(t *testing.T) {
+	for range 20 {
+		_, g := startGroup(t)
+		m := g.Member(0)
+		kept, next := dial(t, m), dial(t, m)
+		m.SetFrozen(true)
+		if err := kept.Send("QUERY kept WRITE x 1"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(frozenTime)
+		m.SetFrozen(false)
+		if _, err := next.Query("DEMOTE 2"); err != nil {
+			t.Fatal(err)
+		}
+		if g.Commits("kept") != 1 {
+			t.Fatal("the member was demoted before it performed the write that it had kept")
+		}
+	}
+}
+
 // TestFrozenMemberStandsStill checks that a frozen primary sends its replicas nothing and that a promotion of a frozen
 // replica takes effect when it goes on.
 func TestFrozenMemberStandsStill(t *testing.T) {
--- a/standin/users/group.go
+++ b/standin/users/group.go
@@ -82,7 +82,7 @@
 	for _, g := range p.groups {
 		g.mu.Lock()
 		for _, m := range g.members {
-			if m.crashed || m.frozen != nil {
+			if m.crashed || m.frozen {
 				continue
 			}
 			state := "ready"
@@ -291,7 +291,7 @@
 // The caller must hold g.mu.
 func (g *Group) replicateOnce(now time.Time) {
 	primary := g.primary()
-	if primary == nil || primary.crashed || primary.frozen != nil {
+	if primary == nil || primary.crashed || primary.frozen {
 		return
 	}
 	for _, m := range g.members {
@@ -312,7 +312,7 @@
 
 // reaches reports whether a member can reach the primary, and keeps since when.
 func (m *Member) reaches(primary *Member, now time.Time) bool {
-	if m.crashed || m.frozen != nil || m.partitioned || primary.partitioned {
+	if m.crashed || m.frozen || m.partitioned || primary.partitioned {
 		m.reachesSince = time.Time{}
 		return false
 	}
--- a/standin/users/member.go
+++ b/standin/users/member.go
@@ -32,18 +32,19 @@
 	conns        map[net.Conn]struct{}
 
 	crashed        bool
-	unresponsive   bool          // sends no answers
-	frozen         chan struct{} // closed when the member goes on; nil while it runs
-	notReceiving   bool          // receives no commits from the primary
-	partitioned    bool          // cut off from the other members
-	draining       bool          // reports that it accepts no new work
-	loseNextAnswer bool          // the next answer to a write or commit is lost
-	breakNextConn  bool          // the next statement with a slot closes its connection and does not run
-	busyStatements int           // number of next statements that are rejected as busy
-	busyLeading    int           // number of statements that are rejected as busy after the first one as the primary
-	failStatements int           // number of next statements that fail
-	pauses         int           // PAUSE commands received
-	rejectsPause   bool          // PAUSE commands are rejected
+	unresponsive   bool // sends no answers
+	frozen         bool
+	kept           []chan struct{} // those that wait for the member to go on, in the order in which they came
+	notReceiving   bool            // receives no commits from the primary
+	partitioned    bool            // cut off from the other members
+	draining       bool            // reports that it accepts no new work
+	loseNextAnswer bool            // the next answer to a write or commit is lost
+	breakNextConn  bool            // the next statement with a slot closes its connection and does not run
+	busyStatements int             // number of next statements that are rejected as busy
+	busyLeading    int             // number of statements that are rejected as busy after the first one as the primary
+	failStatements int             // number of next statements that fail
+	pauses         int             // PAUSE commands received
+	rejectsPause   bool            // PAUSE commands are rejected
 }
 
 func newMember(g *Group, id string) (*Member, error) {
