--- a/standin/users/group.go
+++ b/standin/users/group.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -336,69 +335,6 @@
 	}
 }
 
-// promoteMember handles a promotion request and returns its HTTP status. The promotion takes effect after a delay; 0 is the
-// usual one.
-func (p *Platform) promoteMember(group, id string, delay time.Duration) int {
-	p.mu.Lock()
-	g := p.groups[group]
-	p.mu.Unlock()
-	if g == nil {
-		return http.StatusNotFound
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, m := range g.members {
-		if m.id != id {
-			continue
-		}
-		if m.crashed {
-			return http.StatusConflict
-		}
-		if m.role != rolePrimary {
-			g.pending++
-			p.tasks.Go(func() { g.promote(m, delay) })
-		}
-		return http.StatusOK
-	}
-	return http.StatusNotFound
-}
-
-// PendingPromotions returns how many promotions were requested that have not taken effect yet.
-func (p *Platform) PendingPromotions() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	count := 0
-	for _, g := range p.groups {
-		g.mu.Lock()
-		count += g.pending
-		g.mu.Unlock()
-	}
-	return count
-}
-
-// promote makes a member the primary of the next term after a delay, and not before the member runs.
-func (g *Group) promote(m *Member, delay time.Duration) {
-	requestedAt := time.Now()
-	if delay == 0 {
-		delay = g.platform.options.Promotion
-	}
-	time.Sleep(delay)
-	m.lockRunning()
-	defer g.mu.Unlock()
-	g.pending--
-	if m.role == rolePrimary {
-		return
-	}
-	highest := uint64(0)
-	for _, other := range g.members {
-		highest = max(highest, other.term)
-		other.pausedTerm = 0
-	}
-	m.role, m.term, m.primarySince = rolePrimary, highest+1, time.Now()
-	m.times = make([]time.Time, len(m.log))
-	g.promotions = append(g.promotions, Promotion{Member: m.id, Term: m.term, RequestedAt: requestedAt, At: m.primarySince})
-}
-
 // close stops the group's members.
 func (g *Group) close() {
 	g.mu.Lock()
