--- a/standin/users/freeze.go
+++ b/standin/users/freeze.go
@@ -1,7 +1,8 @@
 package users
 
 // SetFrozen sets whether the member is frozen: it accepts connections and keeps what is sent to it, but performs nothing,
-// does not replicate and reports nothing. When it goes on, it first performs what it has kept, in the order in which it came.
+// does not replicate and reports nothing. When it goes on, it first performs what it has kept, in the order in which that
+// came.
 func (m *Member) SetFrozen(frozen bool) {
 	m.withLock(func() {
 		m.thaw()
