promotion: the instance list of a later era of the store is incomplete at first, also for a new daemon

A daemon that started after the store had returned from an older copy took the list of instances for complete at once: Restored was set only in daemons that had known an earlier era. The list may lack a daemon that still uses the old primary, so that nobody asks it for its lease, and the promotion takes effect beside it (ONE, STALE).

Eras count from 1, so any later number shows that the store has returned, and the 20 s count from the era's first response as before. A store without eras (0) is not concerned. Restored goes.

--- a/plan.go
+++ b/plan.go
@@ -81,12 +81,10 @@
 // StoreEra is a span of time in which the store loses nothing that it acknowledged. An era ends when the store returns from
 // an older copy: what was written since the copy is gone, and versions are given out again.
 type StoreEra struct {
-	// Number increases by one with each era; 0 when the store has no eras.
+	// Number increases by one with each return from an older copy, from 1; 0 when the store has no eras.
 	Number uint64
 	// SeenAt is when this daemon received the first response of the era. The era began earlier.
 	SeenAt Instant
-	// Restored is set when this daemon knew the store in an earlier era.
-	Restored bool
 }
 
 // StoreVersion is a version of the store's content. Within an era numbers only rise; between eras they say nothing.
--- a/promotion/claim.go
+++ b/promotion/claim.go
@@ -13,6 +13,8 @@
 	// before the claim, so that a claim without a mark that has ended shows that nobody requests a promotion under it any
 	// more.
 	requestWindow = 3 * time.Second
+	// firstEra is the number of the era of a store that has not returned from an older copy.
+	firstEra = 1
 	// registrationTime is how long the list of instances may lack some that hold leases, after the store returned from an
 	// older copy that lacks them. Those that reach the store register again sooner.
 	registrationTime = 20 * time.Second
@@ -134,5 +136,6 @@
 // ListComplete reports whether the list of instances that is read from the store in era names every daemon that may hold a
 // lease, for the holder of claim.
 func ListComplete(claim citronusher.Claim, era citronusher.StoreEra, now citronusher.Instant) bool {
-	return claim.Era == era.Number && (!era.Restored || now >= era.SeenAt.Add(registrationTime))
+	restored := era.Number > firstEra
+	return claim.Era == era.Number && (!restored || now >= era.SeenAt.Add(registrationTime))
 }
--- a/promotion/claim_test.go
+++ b/promotion/claim_test.go
@@ -75,9 +75,9 @@
 		want  bool
 	}{
 		"no restore":                   {1, citronusher.StoreEra{Number: 1, SeenAt: recent}, true},
-		"restored while the claim ran": {1, citronusher.StoreEra{Number: 2, SeenAt: old, Restored: true}, false},
-		"restored a moment ago":        {2, citronusher.StoreEra{Number: 2, SeenAt: recent, Restored: true}, false},
-		"restored long ago":            {2, citronusher.StoreEra{Number: 2, SeenAt: old, Restored: true}, true},
+		"restored while the claim ran": {1, citronusher.StoreEra{Number: 2, SeenAt: old}, false},
+		"restored a moment ago":        {2, citronusher.StoreEra{Number: 2, SeenAt: recent}, false},
+		"restored long ago":            {2, citronusher.StoreEra{Number: 2, SeenAt: old}, true},
 	} {
 		if got := promotion.ListComplete(citronusher.Claim{Era: c.claim}, c.era, now); got != c.want {
 			t.Errorf("%s: complete %t, want %t", name, got, c.want)
