targets: a late answer of an earlier primary is no part of the new term's position history

An answer of the old primary that was observed after the next one had been adopted set the minimum position of reads in the new term. A session whose own write was at a later position of the old term could then be served by a replica without it: the position of the new term counted, which is no later than any write of that session (STALE). Found by a reviewer; TestPositionOfAnOldTermIsNoHistory failed before.

Positions go into the history only while the lease is of the term under which the connection was acquired.

--- a/targets/conn.go
+++ b/targets/conn.go
@@ -181,12 +181,12 @@
 func (h *Conn) State() *SessionState { return h.conn.state }
 
 // observeAnswer updates the state of the member, and the group's position history, from an answer. Only positions that
-// were requested under a valid lease go into the history. The caller holds the group's mu.
+// were requested under a valid lease of the present term go into the history. The caller holds the group's mu.
 func (h *Conn) observeAnswer(
 	answer citronusher.Answer, command citronusher.Command, sentAt, now citronusher.Instant,
 ) {
 	g := h.group
-	if h.valid && answer.Position.Term() <= h.term {
+	if h.valid && g.lease.Term() == h.term && answer.Position.Term() <= h.term {
 		g.history.Observe(answer.Position, sentAt)
 	}
 	if !answer.Position.IsZero() {
