targets: what an attempt checked before it waits is checked again once its request is marked

Only the members paused at first were checked.

Now the members are listed once more after the pauses, and the terms, the pauses and that every listed member is paused are checked after the wait, and again after the mark: from then on no daemon begins a lease on a member that was requested earlier. A term above the replaced one, also of the old primary, ends the attempt. A refused member is no longer taken from the paused ones, but passed over when the candidate is chosen.

--- a/targets/claim.go
+++ b/targets/claim.go
@@ -35,6 +35,12 @@
 	m.claimReadAt = sentAt
 	m.requestDeadline, m.claimDeadline = promotion.RequestDeadline(sentAt), promotion.ClaimDeadline(sentAt)
 	m.unrequested = promotion.Unrequested(read, era, replaced)
+	return m.listMembers(ctx)
+}
+
+// listMembers reads the members from the store and applies them.
+func (m *promotionAttempt) listMembers(ctx context.Context) string {
+	g := m.group
 	listedAt := g.now()
 	members, err := g.set.config.Store.Members(ctx)
 	if err != nil {
--- a/targets/pause.go
+++ b/targets/pause.go
@@ -53,6 +53,9 @@
 			m.paused = append(m.paused, r)
 		}
 	}
+	if reason == "" {
+		reason = m.checkNoNewerTerm()
+	}
 	if reason == "" {
 		reason = m.checkAllPaused()
 	}
@@ -73,35 +76,74 @@
 	return ""
 }
 
+// checkUnchanged returns a reason if a replica may have renewed leases since it was paused, or one that was not paused is
+// listed, or an earlier request has taken effect. Called when each lease was released or has expired, it proves that no lease
+// is valid and that no report of a replica renews one.
+func (m *promotionAttempt) checkUnchanged() string {
+	if reason := m.checkStillPaused(); reason != "" {
+		return reason
+	}
+	m.queryPrimary()
+	if reason := m.checkNoNewerTerm(); reason != "" {
+		return reason
+	}
+	return m.checkAllPaused()
+}
+
+// queryPrimary requests the status of the old primary, if it is up: its own promotion may have taken effect again.
+func (m *promotionAttempt) queryPrimary() {
+	m.group.querySome(requestStatus, func(other *member) bool { return other.report.ID == m.primary && !other.down })
+}
+
+// checkNoNewerTerm returns a reason if any member has reported a newer term than the one that is replaced.
+func (m *promotionAttempt) checkNoNewerTerm() string {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	if m.group.highestTerm > m.term {
+		return "a member reports a newer term"
+	}
+	return ""
+}
+
 // checkStillPaused returns a reason if a replica may have renewed leases since it was paused, because it restarted and
-// forgot the pause, or performed an earlier request to resume. Called when each lease was released or has expired, it
-// proves that no lease is valid and that no report of a replica renews one.
+// forgot the pause, or performed an earlier request to resume.
 func (m *promotionAttempt) checkStillPaused() string {
 	unchecked := map[*member]memberReply{}
 	for _, r := range m.paused {
 		unchecked[r.member] = r
 	}
-	for deadline := m.group.now().Add(memberTimeout); len(unchecked) > 0; time.Sleep(busyInterval) {
-		replies := m.group.querySome(requestStatus, func(other *member) bool {
-			_, ok := unchecked[other]
-			return ok
-		})
-		if len(replies) < len(unchecked) {
-			return "a paused member was removed"
+	for deadline := m.group.now().Add(memberTimeout); ; time.Sleep(busyInterval) {
+		if reason := m.checkPauses(unchecked); reason != "" {
+			return reason
 		}
-		for _, r := range replies {
-			switch m.pauseState(r, unchecked[r.member]) {
-			case pauseLost:
-				return "replication at member " + r.id + " may not be paused any more"
-			case pauseKept:
-				delete(unchecked, r.member)
-			case pauseUnknown:
-			}
+		if len(unchecked) == 0 {
+			return ""
 		}
-		if len(unchecked) > 0 && m.group.now() >= deadline {
+		if m.group.now() >= deadline {
 			return "a paused member is too busy to answer"
 		}
 	}
+}
+
+// checkPauses requests the status of the unchecked members and removes those that are still paused. It returns a reason if one
+// may not be.
+func (m *promotionAttempt) checkPauses(unchecked map[*member]memberReply) string {
+	replies := m.group.querySome(requestStatus, func(other *member) bool {
+		_, ok := unchecked[other]
+		return ok
+	})
+	if len(replies) < len(unchecked) {
+		return "a paused member was removed"
+	}
+	for _, r := range replies {
+		switch m.pauseState(r, unchecked[r.member]) {
+		case pauseLost:
+			return "replication at member " + r.id + " may not be paused any more"
+		case pauseKept:
+			delete(unchecked, r.member)
+		case pauseUnknown:
+		}
+	}
 	return ""
 }
 
--- a/targets/promote.go
+++ b/targets/promote.go
@@ -42,6 +42,7 @@
 	requestedAt     citronusher.Instant // when the promotion was requested last
 	replies         []memberReply       // the members' replies at the beginning
 	paused          []memberReply       // replies of the replicas whose replication is paused
+	refused         []string            // members that the platform refused to promote
 	released        bool                // every instance has released its lease
 	nextDelay       time.Duration       // delay before this instance begins another attempt
 	claimWait       time.Duration       // until a claim that the store may have lost has ended
--- a/targets/request.go
+++ b/targets/request.go
@@ -12,15 +12,20 @@
 )
 
 // requestPromotion promotes a member and waits until it is the primary. If not every instance released its lease, it
-// first waits until the leases have expired.
+// first waits until the leases have expired. It reads the members after replication was paused: one that is not listed then
+// can renew only leases that a paused replica would have to renew first.
 func (m *promotionAttempt) requestPromotion(ctx context.Context) string {
 	g := m.group
 	pausedAt := g.now()
+	if reason := m.listMembers(ctx); reason != "" {
+		m.resumeReplication()
+		return reason
+	}
 	m.released = m.releaseLeases(ctx)
 	if wait := promotion.EarliestRequestAt(pausedAt, m.released).Sub(g.now()); wait > 0 {
 		time.Sleep(wait)
 	}
-	if reason := m.checkStillPaused(); reason != "" {
+	if reason := m.checkUnchanged(); reason != "" {
 		m.resumeReplication()
 		return reason
 	}
@@ -33,6 +38,9 @@
 			m.resumeReplication()
 			return reason
 		}
+		if reason := m.checkUnchanged(); reason != "" {
+			return reason // an earlier request took effect before the mark kept daemons from using its member
+		}
 		err := m.sendRequest(ctx, candidate.ID)
 		if err == nil {
 			return m.awaitPrimary(ctx, candidate.ID)
@@ -40,7 +48,7 @@
 		if m.unrequested || !errors.Is(err, citronusher.ErrConflict) {
 			return "the promotion of " + candidate.ID + " was not confirmed: " + err.Error()
 		}
-		m.paused = slices.DeleteFunc(m.paused, func(r memberReply) bool { return r.id == candidate.ID })
+		m.refused = append(m.refused, candidate.ID)
 	}
 }
 
@@ -51,6 +59,9 @@
 	list := make([]promotion.Member, 0, len(m.paused))
 	requested := m.claim.Candidate
 	for _, r := range m.paused {
+		if slices.Contains(m.refused, r.id) {
+			continue
+		}
 		if r.id == requested.ID && !r.status.Position.Less(requested.Position) {
 			return requested, true
 		}
--- a/targets/stale_view_test.go
+++ b/targets/stale_view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -282,3 +283,39 @@
 		}
 	})
 }
+
+// joiningStore is a store that lists member c from the second time on.
+type joiningStore struct {
+	*fakePlatform
+	lists *int
+}
+
+func (s joiningStore) Members(ctx context.Context) ([]citronusher.MemberReport, error) {
+	*s.lists++
+	list, err := s.fakePlatform.Members(ctx)
+	if *s.lists == 1 {
+		list = slices.DeleteFunc(list, func(r citronusher.MemberReport) bool { return r.ID == "c" })
+	}
+	return list, err
+}
+
+// TestMemberThatJoinsBeforeThePausesIsPaused guards against a promotion beside a lease that a replica renews which was listed
+// after the promoter had read the members, and before the pauses.
+func TestMemberThatJoinsBeforeThePausesIsPaused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform()
+		g := p.newDaemon(t, "d1")
+		g.set.config.Store = joiningStore{fakePlatform: p, lists: new(int)}
+		delete(g.members, "c")
+		g.set.groups["g"] = g
+		g.set.plan.Groups = map[string]citronusher.GroupPlan{"g": {Name: "g", Connections: 16}}
+		g.discover()
+		p.setPrimaryDown(true)
+		if reason := promoteFor(g); reason != "replication at member c was not paused" {
+			t.Errorf("abandoned: %q", reason)
+		}
+		if requests := p.requests(); len(requests) > 0 {
+			t.Errorf("requests: %v", requests)
+		}
+	})
+}
