targets: a holder that was frozen resumes no replica after its claim

mayResume checked the claim, and then the request got a deadline of its own when it was sent. A holder frozen in between resumed the replicas that the next holder had paused; a daemon that the store did not answer then took two rounds of unpaused reports as proof for the old primary while a promotion could take effect (ONE, STALE). Found by a reviewer; TestFrozenHolderResumesNoReplica failed before.

The end of the claim is checked right before the request is written, and bounds it. A holder frozen between that check and the write could still do it: no request to resume names its sender or term.

--- a/targets/pause.go
+++ b/targets/pause.go
@@ -1,6 +1,7 @@
 package targets
 
 import (
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -8,6 +9,9 @@
 	"citronusher.example/citronusher"
 )
 
+// errClaimEnded reports that a claim ended before a request under it was sent.
+var errClaimEnded = errors.New("the claim has ended")
+
 // busyInterval is the time between two requests to a replica that is too busy to report whether it is paused.
 const busyInterval = 20 * time.Millisecond
 
@@ -204,12 +208,16 @@
 	var tasks sync.WaitGroup
 	for _, r := range m.paused {
 		tasks.Go(func() {
-			m.group.query(r.member, memberTimeout, func(
-				c *pooledConn, deadline citronusher.Instant,
-			) (citronusher.MemberStatus, error) {
-				return citronusher.MemberStatus{}, c.link.ResumeReplication(deadline)
-			})
+			m.group.query(r.member, memberTimeout, m.resume)
 		})
 	}
 	tasks.Wait()
 }
+
+// resume resumes replication at a member, unless the claim has ended meanwhile: the next holder may have paused it.
+func (m *promotionAttempt) resume(c *pooledConn, deadline citronusher.Instant) (citronusher.MemberStatus, error) {
+	if m.group.now() >= m.claimDeadline {
+		return citronusher.MemberStatus{}, errClaimEnded
+	}
+	return citronusher.MemberStatus{}, c.link.ResumeReplication(min(deadline, m.claimDeadline))
+}
