targets: a promoter recognises itself by name and address, and always releases its own lease

And when its own row was missing from the list, its own lease was not released.

SetRegistered gets the instance as it was registered. Before, only the name was known to the package.

--- a/execute/execute_test.go
+++ b/execute/execute_test.go
@@ -131,7 +131,7 @@
 	}
 	s.SetMembers(reports, m.clock.Instant())
 	s.Apply(citronusher.Plan{Version: 1, Groups: map[string]citronusher.GroupPlan{"g": {Name: "g", Connections: 16}}})
-	s.SetRegistered()
+	s.SetRegistered(citronusher.NewInstance("d1", "127.0.0.1:1", "z", citronusher.InstanceLive))
 	for start := time.Now(); !s.Ready(); time.Sleep(time.Millisecond) {
 		if time.Since(start) > waitTimeout {
 			t.Fatal("no lease began")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -131,7 +131,7 @@
 			g.targets.SetMembers(members, clock.Instant().Add(-time.Since(listedAt)))
 		},
 		OnInstances:  g.targets.SetInstances,
-		OnRegistered: g.targets.SetRegistered, OnUnregistered: g.targets.SetUnregistered,
+		OnRegistered: func() { g.targets.SetRegistered(g.self) }, OnUnregistered: g.targets.SetUnregistered,
 		Peers: g.peerClient, Logger: g.logger, Meter: g.meter,
 	})
 	return nil
--- a/targets/claim_test.go
+++ b/targets/claim_test.go
@@ -59,7 +59,7 @@
 			Self: "d1", Dialer: hook, Store: p, Peers: p, Promoter: p, Clock: p, Logger: slog.New(slog.DiscardHandler),
 			Meter: meter.New(), RefreshMembers: func() {},
 		})
-		s.SetRegistered()
+		s.SetRegistered(instance("d1"))
 		g := newGroup(s, "g")
 		g.configure(connectionShare{connections: 16, homes: 6, home: true}, p.reports(), 0)
 		p.claim = earlierClaim(1, citronusher.ClaimHeld)
--- a/targets/discover_test.go
+++ b/targets/discover_test.go
@@ -48,7 +48,7 @@
 	if adopted := g.adopt(g.queryAll(requestStatus)); adopted || g.Ready() {
 		t.Errorf("adopted %t, with a lease %t", adopted, g.Ready())
 	}
-	f.set.SetRegistered()
+	f.set.SetRegistered(instance("d1"))
 	if adopted := g.adopt(g.queryAll(requestStatus)); !adopted || !g.Ready() {
 		t.Errorf("registered again: adopted %t, with a lease %t", adopted, g.Ready())
 	}
--- a/targets/establish_test.go
+++ b/targets/establish_test.go
@@ -29,7 +29,7 @@
 			Self: "d1", Dialer: p, Store: unreachableStore{p}, Peers: p, Promoter: p, Clock: p,
 			Logger: slog.New(slog.DiscardHandler), Meter: meter.New(), RefreshMembers: func() {},
 		})
-		s.SetRegistered()
+		s.SetRegistered(instance("d1"))
 		g := newGroup(s, "g")
 		g.configure(connectionShare{connections: 16, homes: 6, home: true}, p.reports(), 0)
 		p.members["b"] = joined
--- a/targets/platform_test.go
+++ b/targets/platform_test.go
@@ -250,7 +250,7 @@
 		Self: name, Dialer: p, Store: p, Peers: p, Promoter: p, Clock: p, Logger: slog.New(slog.DiscardHandler),
 		Meter: meter.New(), RefreshMembers: func() {},
 	})
-	s.SetRegistered()
+	s.SetRegistered(instance(name))
 	g := newGroup(s, "g")
 	g.configure(connectionShare{connections: 16, homes: 6, home: true}, p.reports(), 0)
 	time.Sleep(time.Millisecond) // what is requested from now on is later than the group
--- a/targets/release.go
+++ b/targets/release.go
@@ -23,6 +23,7 @@
 // instance that is not listed can only begin a lease later, and no replica renews that one.
 func (m *promotionAttempt) releaseLeases(ctx context.Context) bool {
 	g := m.group
+	g.releaseLease(m.term)
 	instances, err := g.set.config.Store.Instances(ctx)
 	if err != nil {
 		return false
@@ -44,10 +45,9 @@
 	return complete && held.none()
 }
 
-// releaseLeaseOf requests that an instance, which may be this one, releases its lease.
+// releaseLeaseOf requests that another instance releases its lease.
 func (m *promotionAttempt) releaseLeaseOf(ctx context.Context, instance citronusher.Instance) error {
-	if instance.Name() == m.group.set.config.Self {
-		m.group.releaseLease(m.term)
+	if m.group.set.isSelf(instance) {
 		return nil
 	}
 	return m.group.set.config.Peers.ReleaseLease(ctx, instance, m.group.name, m.claim, m.term)
--- a/targets/renew_test.go
+++ b/targets/renew_test.go
@@ -30,7 +30,7 @@
 			f.set.registered.Store(false)
 			g := f.open()
 			f.advance(time.Second)
-			f.set.SetRegistered()
+			f.set.SetRegistered(instance("d1"))
 			return g
 		}, 100 * time.Millisecond, false},
 		{"requested before the daemon was registered again", func(f *fakeGroup) *Group {
@@ -38,13 +38,13 @@
 			f.advance(time.Second)
 			f.set.SetUnregistered()
 			f.advance(time.Second)
-			f.set.SetRegistered()
+			f.set.SetRegistered(instance("d1"))
 			return g
 		}, 100 * time.Millisecond, false},
 		{"a registration that is confirmed changes nothing", func(f *fakeGroup) *Group {
 			g := f.open()
 			f.advance(time.Second)
-			f.set.SetRegistered()
+			f.set.SetRegistered(instance("d1"))
 			return g
 		}, 100 * time.Millisecond, true},
 	} {
--- a/targets/scripted_test.go
+++ b/targets/scripted_test.go
@@ -139,7 +139,7 @@
 	}
 	f.members["a"].status.Role = citronusher.RolePrimary
 	f.set.SetInstances([]citronusher.Instance{citronusher.NewInstance("d2", "127.0.0.1:1", "z", citronusher.InstanceLive)})
-	f.set.SetRegistered()
+	f.set.SetRegistered(instance("d1"))
 	return f
 }
 
--- a/targets/set.go
+++ b/targets/set.go
@@ -60,7 +60,8 @@
 	reports   []citronusher.MemberReport
 	reportsAt citronusher.Instant // when reports were read from the store
 
-	registered atomic.Bool // the other instances can find this one and ask it to release leases
+	self       atomic.Pointer[citronusher.Instance] // as it was registered; nil before
+	registered atomic.Bool                          // the other instances can find this one and ask it to release leases
 
 	homes homes // has its own mutex; read while a group's mutex is held
 }
@@ -116,10 +117,10 @@
 	return g.leaseRenewalAge(term)
 }
 
-// SetRegistered records that this instance is registered in the store, which allows it to use leases: before a promotion,
-// all registered instances are requested to release theirs. A promotion that began before may not have asked this one, so
-// that what was requested before begins no lease.
-func (s *Set) SetRegistered() {
+// SetRegistered records that this instance is registered in the store as self, which allows it to use leases: before a
+// promotion, all registered instances are requested to release theirs. A promotion that began before may not have asked this
+// one, so that what was requested before begins no lease.
+func (s *Set) SetRegistered(self citronusher.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.registered.Load() {
@@ -128,9 +129,17 @@
 	for _, g := range s.groups {
 		g.ignoreBefore(g.now())
 	}
+	s.self.Store(&self)
 	s.registered.Store(true)
 }
 
+// isSelf reports whether a listed instance is this process. One of its name at another address is an earlier or a later
+// process, which may run.
+func (s *Set) isSelf(instance citronusher.Instance) bool {
+	self := s.self.Load()
+	return self != nil && self.SameDaemon(instance)
+}
+
 // SetUnregistered records that this instance may no longer be registered in the store. Its leases end, and none begins
 // before SetRegistered is called again.
 func (s *Set) SetUnregistered() {
--- a/targets/set_test.go
+++ b/targets/set_test.go
@@ -51,7 +51,7 @@
 func TestUnregisteredInstanceUsesNoLease(t *testing.T) {
 	g, timer := newTestGroup(t)
 	g.set.groups["g"] = g
-	g.set.SetRegistered()
+	g.set.SetRegistered(instance("d1"))
 	g.lease.Begin(1)
 	g.lease.Establish(timer.now)
 	if !g.Ready() {
