targets: a probe reads its member's ID under the lock

Cause: probe read m.report.ID without the group's lock, while the list of members replaces m.report under it. The probe of a primary whose lease no replica renews is sent while lists arrive, so that the two meet now and then.

What callers saw: nothing, since the ID of a member does not change. The race detector failed the test that ran: gateway TestScripts/lost-claim-effective, "WARNING: DATA RACE", write at applyReport (group.go:139), previous read at probe (watch.go:141) begun by checkUnconfirmedPrimary (renew.go:188); once in 4 runs of this script, on a machine under a load average of 30 to 40.

Change: the probe reads the ID where it holds the lock to apply the answer. All other reads of a member's report hold it.

--- a/targets/watch.go
+++ b/targets/watch.go
@@ -138,11 +138,12 @@
 func (g *Group) probe(m *member) {
 	c, err := g.dial(m, g.now().Add(probeTimeout))
 	if err == nil {
-		r := memberReply{id: m.report.ID, sentAt: g.now()}
+		r := memberReply{sentAt: g.now()}
 		r.status, r.err = c.link.Status(r.sentAt.Add(probeTimeout))
 		status, err := r.status, r.err
 		g.set.config.Meter.Probes().Inc(1)
 		g.mu.Lock()
+		r.id = m.report.ID
 		superseded := status.Role == citronusher.RoleReplica || status.Term > g.lease.Term()
 		if err == nil && m.report.ID == g.primary && superseded {
 			g.endLease("primary reported another role or term", g.now())
