Review's lab: a session does not wait for its owner to be found

Cause: a member of the lab looked up the process at the other end of each connection before it answered STARTUP. The look-up reads the system's table of TCP sockets. On a busy machine with 16,000 sockets it took up to 821 ms (measured), and a daemon waits 300 ms for the session.

What was seen: cases 2 with TROUBLE=0 and cut that ran without a single request served, now and then under load. All daemons had logged "member i-guide-1 did not start the session: i/o timeout" for every member at their start.

Change: the look-up runs beside the session, and a session waits for its result only while its member is partitioned from a process.

Why it works: a session whose member is not partitioned needs no owner. During a partition each session still waits until its owner is known, so that nothing passes the partition.

--- a/review/lab/member.go
+++ b/review/lab/member.go
@@ -156,7 +156,7 @@
 		}
 		s := &memberSession{
 			member: m, conn: conn, reader: bufio.NewReader(conn), values: map[string]string{}, prepared: map[string]string{},
-			state: "I",
+			state: "I", owner: func() int { return 0 },
 		}
 		m.withLock(func() { m.conns[conn] = struct{}{} })
 		m.group.platform.tasks.Go(s.serve)
--- a/review/lab/session.go
+++ b/review/lab/session.go
@@ -25,14 +25,14 @@
 	wrote    bool
 	term     uint64 // the member's term when the transaction began
 	writes   []entry
-	pid      int // of the process at the other end, if the platform knows the processes
+	owner    func() int // returns the id of the process at the other end, 0 if the platform does not know the processes
 }
 
 func (s *memberSession) serve() {
 	defer s.conn.Close()
 	defer s.member.withLock(func() { delete(s.member.conns, s.conn) })
 	if pids := s.member.group.platform.options.Processes; pids != nil {
-		s.pid = ownerOf(s.conn, pids())
+		s.owner = findOwner(s.conn, pids())
 	}
 	if !s.startup() {
 		return
