prove: TestLocal and the clusters have ports that no other test takes

Cause: the local system of TestLocal took fixed ports from 12100 on, and freePort those from 13001 on. The soak, whose tests run beside, gives out ports of 10000 to 29999 (from a start that depends on its process id), and review's lab those of 12000 to 31999. A daemon of TestLocal whose port was taken ended at its start. Its log was removed with the test's folder, and the other 15 processes went on running, since the test had not yet registered their end: every later TestLocal on the machine met their ports.

What was seen: "./local up: exit status 1, local: http://127.0.0.1:12135/ready did not answer" in one of one runs of the package prove under load. d5 did not run, the other daemons listened still 3 minutes later; a daemon of review/2, started in the same 5 s, had 127.0.0.1:12115, the entry of d5, in its settings.

Change: freePort gives out 30000 to 31999 and TestLocal takes the ports from 32100 on, which lie above those of the soak and below those of outgoing connections. TestLocal registers the end of its processes before it starts them, and a failed start shows the end of each log.

--- a/prove/local_test.go
+++ b/prove/local_test.go
@@ -5,13 +5,16 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"testing"
 
 	"github.com/jackc/pgx/v5"
 )
 
-const localPort = "12100" // first port of the local system in this test
+// localPort is the first port of the local system in this test. No other test takes these ports: they lie above those of
+// freePort and of the soak, and below those that the kernel assigns to outgoing connections.
+const localPort = "32100"
 
 // local runs the script ./local with a verb and returns its output.
 func local(t *testing.T, folder, verb string) string {
@@ -21,22 +24,39 @@
 	cmd.Env = append(os.Environ(), "CITRONUSHER_PORT="+localPort, "CITRONUSHER_LOCAL="+folder)
 	out, err := cmd.CombinedOutput()
 	if err != nil {
+		logLastLines(t, folder)
 		t.Fatalf("./local %s: %v\n%s", verb, err, out)
 	}
 	return string(out)
 }
 
+// logLastLines logs the end of what each process of the local system has written.
+func logLastLines(t *testing.T, folder string) {
+	t.Helper()
+	paths, err := filepath.Glob(filepath.Join(folder, "*.log"))
+	if err != nil {
+		t.Error(err)
+	}
+	for _, path := range paths {
+		body, err := os.ReadFile(path)
+		if err != nil {
+			t.Error(err)
+		}
+		t.Logf("--- %s ---\n%s", filepath.Base(path), tail(string(body)))
+	}
+}
+
 // TestLocal guards the script ./local: it starts the local system, runs statements through every entry, kills one daemon,
 // runs statements through the others, and checks that `down` leaves no process running.
 func TestLocal(t *testing.T) {
 	folder := t.TempDir()
-	out := local(t, folder, "up")
 	stopped := false
 	t.Cleanup(func() {
 		if !stopped {
 			local(t, folder, "down")
 		}
 	})
+	out := local(t, folder, "up")
 	var entries []string
 	for _, line := range strings.Split(out, "\n") {
 		if entry, ok := strings.CutPrefix(line, "entry="); ok {
--- a/prove/process_test.go
+++ b/prove/process_test.go
@@ -181,17 +181,20 @@
 	_ = p.wait.Wait()
 }
 
-// nextPort is the offset of the last allocated port from firstPort. The ports lie below the range that the kernel assigns
-// to outgoing connections, so that no such connection takes a port between its allocation and its use.
+// nextPort is the number of ports that freePort has tried. The ports lie below the range that the kernel assigns to outgoing
+// connections, and above those of the soak, so that nothing takes a port between its allocation and its use.
 var nextPort atomic.Int32
 
-const firstPort = 13_000
+const (
+	firstPort = 30_000
+	portCount = 2_000
+)
 
 // freePort returns a loopback address with a port on which nothing listens.
 func freePort(t testing.TB) string {
 	t.Helper()
 	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
 		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 		if err == nil {
 			_ = listener.Close()
