promotion: a planned promotion waits after a repeated request

Cause: an unanswered request for a promotion is repeated for the same member. The first effect settles all of them only as long as that member leads. A planned promotion of another member followed at once; the leftover request was then carried out and replaced the new primary, which daemons went on using until a member told them of the newer term.

Change: the group's row keeps the member whose request was repeated last and when (RepeatedRequest), through later claims. A promotion after an outage doesn't wait.

Why it works: "For the present primary, the call returns 200, and nothing changes", so leftover requests that are carried out during the wait do nothing. Tokens are not checked and don't identify a request, and no answer tells that none is left: one that is carried out later than that, or after an outage of its member, may still replace a primary (docs/decisions/platform.md, Open).

--- a/gateway/action_test.go
+++ b/gateway/action_test.go
@@ -203,6 +203,8 @@
 		return s.promotionRequests()
 	case "promoted": // the members that promotions made the primary, in order
 		return s.promoted()
+	case "leaders": // the members that led after each promotion, in order
+		return strings.Join(s.leaders(), " ")
 	case "pauses":
 		return strconv.Itoa(s.group.Pauses())
 	case "over-cap":
@@ -266,12 +268,21 @@
 
 // promoted returns the members that promotions made the primary, each once, once no promotion is on its way.
 func (s *script) promoted() string {
-	s.waitUntil("no promotion on its way", func() bool { return s.platform.PendingPromotions() == 0 })
 	var members []string
-	for _, p := range s.group.Promotions() {
-		if !slices.Contains(members, p.Member) {
-			members = append(members, p.Member)
+	for _, id := range s.leaders() {
+		if !slices.Contains(members, id) {
+			members = append(members, id)
 		}
 	}
 	return strings.Join(members, " ")
 }
+
+// leaders returns the member that each promotion made the primary, once no promotion is on its way.
+func (s *script) leaders() []string {
+	s.waitUntil("no promotion on its way", func() bool { return s.platform.PendingPromotions() == 0 })
+	var members []string
+	for _, p := range s.group.Promotions() {
+		members = append(members, p.Member)
+	}
+	return members
+}
--- a/plan.go
+++ b/plan.go
@@ -120,6 +120,15 @@
 	Position Position
 }
 
+// RepeatedRequest is a promotion that was requested again although an earlier request for the same member may still take
+// effect. When the member leads, the platform may yet carry out one of the requests.
+type RepeatedRequest struct {
+	// ID names the member; empty when no request was repeated.
+	ID string
+	// Millis is when the promotion was requested last, in milliseconds of the store's clock.
+	Millis int64
+}
+
 // Claim is a daemon's exclusive permission to promote a member of a group. It is a row in the store.
 type Claim struct {
 	// Holder names the daemon's process.
@@ -137,6 +146,8 @@
 	Phase ClaimPhase
 	// Candidate is the member whose promotion may have been requested last, in phase ClaimRequested.
 	Candidate Candidate
+	// Repeated is the newest repeated request under this claim or an earlier one.
+	Repeated RepeatedRequest
 	// EndMillis is when the claim ends, in milliseconds of the store's clock.
 	EndMillis int64
 	// StoreMillis is the store's clock when it responded, in milliseconds.
--- a/promotion/claim.go
+++ b/promotion/claim.go
@@ -18,6 +18,9 @@
 	registrationTime = 20 * time.Second
 	// statusAge is the maximum age of a status that is used together with a claim, when the claim is read.
 	statusAge = 1 * time.Second
+	// repeatWait is how long after a repeated request its member is not replaced as planned. A member that leaves serves
+	// for longer, so that there is time for the promotion that follows.
+	repeatWait = 5 * time.Second
 )
 
 // ClaimableAt returns the earliest time at which self may replace the claim that was read from the store in era: at once
@@ -49,7 +52,7 @@
 func NextClaim(read citronusher.Claim, era citronusher.StoreEra, self string, primary Primary) citronusher.Claim {
 	next := citronusher.Claim{
 		Holder: self, Era: era.Number, Term: max(primary.Term, read.Term), Phase: citronusher.ClaimHeld,
-		EndMillis: read.StoreMillis + ClaimTTL.Milliseconds(),
+		Repeated: read.Repeated, EndMillis: read.StoreMillis + ClaimTTL.Milliseconds(),
 	}
 	if Pending(read, primary) {
 		next.Phase, next.Candidate = citronusher.ClaimRequested, read.Candidate
@@ -63,8 +66,14 @@
 func RequestedClaim(
 	claim citronusher.Claim, candidate citronusher.Candidate, since time.Duration,
 ) citronusher.Claim {
+	pending := claim.Phase == citronusher.ClaimRequested && claim.Candidate.ID == candidate.ID
 	claim.Phase, claim.Candidate = citronusher.ClaimRequested, candidate
 	claim.EndMillis += since.Milliseconds()
+	if pending || claim.Repeated.ID == candidate.ID {
+		claim.Repeated = citronusher.RepeatedRequest{
+			ID: candidate.ID, Millis: claim.EndMillis - ClaimTTL.Milliseconds(),
+		}
+	}
 	return claim
 }
 
@@ -83,6 +92,17 @@
 	return read.Phase == citronusher.ClaimRequested && (read.Term >= primary.Term || another)
 }
 
+// PlannedWait returns how long a planned promotion of another member waits when the claim was read. When the promotion of
+// the primary was requested more than once, the first effect settles all requests only as long as it leads: carried out
+// later, one would replace its successor, which daemons go on using. An unavailable primary is replaced without this wait.
+func PlannedWait(read citronusher.Claim, primary Primary) time.Duration {
+	if read.Repeated.ID == "" || read.Repeated.ID != primary.ID || Pending(read, primary) {
+		return 0
+	}
+	since := time.Duration(read.StoreMillis-read.Repeated.Millis) * time.Millisecond
+	return min(max(0, repeatWait-since), repeatWait)
+}
+
 // Unrequested reports whether the claim that was read from the store in era shows that no promotion of a successor to
 // the primary may take effect, once the claim was replaced. One that was not written in that era does not, because the
 // store may have lost a later one.
@@ -94,7 +114,8 @@
 // the one that was read.
 func FreeClaim(read citronusher.Claim, era citronusher.StoreEra, self string, term uint64) citronusher.Claim {
 	return citronusher.Claim{
-		Holder: self, Era: era.Number, Term: max(term, read.Term), Phase: citronusher.ClaimFree, EndMillis: read.StoreMillis,
+		Holder: self, Era: era.Number, Term: max(term, read.Term), Phase: citronusher.ClaimFree, Repeated: read.Repeated,
+		EndMillis: read.StoreMillis,
 	}
 }
 
--- a/promotion/claim_test.go
+++ b/promotion/claim_test.go
@@ -132,3 +132,44 @@
 		t.Errorf("the claim on term %d was replaced by one on term %d", term, next.Term)
 	}
 }
+
+// TestRepeatedRequestOutlastsClaims guards against a planned promotion that does not wait because a later claim has replaced
+// the one under which a request was repeated, and against one that waits forever, or for another member.
+func TestRepeatedRequestOutlastsClaims(t *testing.T) {
+	era := citronusher.StoreEra{Number: 1}
+	old, next := promotion.Primary{Term: 1, ID: "a"}, promotion.Primary{Term: 2, ID: "b"}
+	claim := func(read citronusher.Claim, at int64, primary promotion.Primary) citronusher.Claim {
+		read.StoreMillis = at
+		return promotion.NextClaim(read, era, "d1", primary)
+	}
+	b := citronusher.Candidate{ID: "b"}
+	once := promotion.RequestedClaim(claim(citronusher.Claim{Era: 1}, 1000, old), b, 0)
+	if wait := promotion.PlannedWait(once, next); wait != 0 {
+		t.Errorf("the wait after one request is %s", wait)
+	}
+	twice := promotion.RequestedClaim(claim(once, 60_000, old), b, time.Second)
+	if want := (citronusher.RepeatedRequest{ID: "b", Millis: 61_000}); twice.Repeated != want {
+		t.Fatalf("repeated request %+v, want %+v", twice.Repeated, want)
+	}
+	held := claim(twice, 62_000, next)
+	for name, row := range map[string]citronusher.Claim{
+		"requested": twice, "held": held, "freed": promotion.FreedClaim(held), "recorded": promotion.FreeClaim(held, era, "d1", 2),
+	} {
+		for at, want := range map[int64]time.Duration{
+			60_000: 5 * time.Second, 62_000: 4 * time.Second, 66_000: 0, 99_000: 0,
+		} {
+			row.StoreMillis = at
+			if wait := promotion.PlannedWait(row, next); wait != want {
+				t.Errorf("%s, read at %d: wait %s, want %s", name, at, wait, want)
+			}
+		}
+		row.StoreMillis = 62_000
+		if wait := promotion.PlannedWait(row, promotion.Primary{Term: 3, ID: "c"}); wait != 0 {
+			t.Errorf("%s: the wait for another member is %s", name, wait)
+		}
+	}
+	again := promotion.RequestedClaim(claim(held, 70_000, promotion.Primary{Term: 3, ID: "c"}), b, 0)
+	if again.Repeated.Millis != 70_000 {
+		t.Errorf("a request after a repeated one for the same member: %+v", again.Repeated)
+	}
+}
--- a/targets/claim.go
+++ b/targets/claim.go
@@ -21,11 +21,14 @@
 	if err != nil {
 		return "the claim could not be read: " + err.Error()
 	}
+	replaced := promotion.Primary{Term: m.term, ID: m.primary}
+	if wait := promotion.PlannedWait(read, replaced); m.planned && wait > 0 {
+		return m.deferPlanned(wait)
+	}
 	era, now := g.set.config.Store.Era(), g.now()
 	if claimableAt := promotion.ClaimableAt(read, era, g.set.holder, now); claimableAt > now {
 		return m.deferClaim(read, era, claimableAt.Sub(now))
 	}
-	replaced := promotion.Primary{Term: m.term, ID: m.primary}
 	next := promotion.NextClaim(read, era, g.set.holder, replaced)
 	m.identifyPrimary(read, next.Term)
 	if m.claim, err = g.set.config.Store.WriteClaim(ctx, g.name, read.Version, next); err != nil {
@@ -73,6 +76,13 @@
 	return "a claim that the store may have lost is valid for up to " + wait.Round(time.Millisecond).String()
 }
 
+// deferPlanned sets when the planned promotion is tried again, and returns the reason. One that follows an outage does not
+// wait.
+func (m *promotionAttempt) deferPlanned(wait time.Duration) string {
+	m.nextDelay, m.plannedWait = 0, wait
+	return "an earlier request may promote the leaving primary again for up to " + wait.Round(time.Millisecond).String()
+}
+
 // markRequest shows in the claim that the candidate's promotion may have been requested, before it is. Without an
 // answer nothing is requested: the mark may come too late, when another instance has replaced the claim.
 func (m *promotionAttempt) markRequest(ctx context.Context, candidate citronusher.Candidate) string {
@@ -97,6 +107,7 @@
 	if !m.unrequested {
 		left.Phase, left.Candidate = m.found.Phase, m.found.Candidate
 	}
+	left.Repeated = m.found.Repeated
 	if m.requested || left == m.claim {
 		return
 	}
--- a/targets/group.go
+++ b/targets/group.go
@@ -42,6 +42,7 @@
 	expectedBackAt      citronusher.Instant // when an unavailable primary is expected to be replaced
 	promoting           bool                // this instance is carrying out a promotion
 	earliestPromotionAt citronusher.Instant // earliest time of the next promotion
+	earliestPlannedAt   citronusher.Instant // earliest time of the next planned promotion
 	recordedEra         uint64              // era of the store in which the group was found claimed, or recorded as free
 	highestTerm         uint64              // highest term reported by any member
 	home                bool                // this instance is one of the group's homes
--- a/targets/platform_test.go
+++ b/targets/platform_test.go
@@ -266,6 +266,19 @@
 	}
 	m := g.newAttempt(false)
 	g.mu.Unlock()
+	return carryOut(m)
+}
+
+// replaceFor makes a daemon try a planned promotion, and returns the reason for which it was abandoned.
+func replaceFor(g *Group) string {
+	g.mu.Lock()
+	m := g.newAttempt(true)
+	g.mu.Unlock()
+	return carryOut(m)
+}
+
+// carryOut tries a promotion, and returns the reason for which it was abandoned.
+func carryOut(m *promotionAttempt) string {
 	ctx, cancel := context.WithTimeout(context.Background(), promotionTimeout)
 	defer cancel()
 	reason := m.try(ctx)
--- a/targets/promote.go
+++ b/targets/promote.go
@@ -44,6 +44,7 @@
 	paused          []memberReply       // replies of the replicas whose replication is paused
 	released        bool                // every instance has released its lease
 	nextDelay       time.Duration       // delay before this instance begins another attempt
+	plannedWait     time.Duration       // delay before this instance begins another planned attempt
 	claimWait       time.Duration       // until a claim that the store may have lost has ended
 	claimedByOther  bool                // another instance holds the claim, or has held one that the store may have lost
 }
@@ -64,7 +65,7 @@
 	if !g.home && now < outage.DetectedAt.Add(nonHomeDelay) {
 		return
 	}
-	planned := primary != nil && primary.report.Leaving && !g.lease.Closed() && g.lease.Valid(now)
+	planned := primary != nil && primary.report.Leaving && !g.lease.Closed() && g.lease.Valid(now) && now >= g.earliestPlannedAt
 	if !planned && !outage.ShouldPromote(now) {
 		return
 	}
@@ -95,6 +96,7 @@
 	defer g.mu.Unlock()
 	g.promoting = false
 	g.earliestPromotionAt = g.now().Add(m.nextDelay)
+	g.earliestPlannedAt = g.now().Add(m.plannedWait)
 	if !m.claimedByOther {
 		g.expectedBackAt = g.now().Add(m.claimWait + expectedOutage)
 	}
