A home that rejects a request renews its lease for the next one

Cause: a request that needs the primary at a home without a valid lease is rejected at once, so that its entry tries the next home, before it counts as a use of the lease. So the lease was not renewed, and the next request, 300 ms later, when the home is no longer deprioritized, was rejected too. As long as one other home had a lease, the entry sent everything there.

Evidence: TestRejectedRequestRenewsTheLease failed before ("the lease was not renewed").

Change: the request counts as a use before it is rejected.

--- a/targets/conn.go
+++ b/targets/conn.go
@@ -43,15 +43,15 @@
 	granted := make(chan grant, 1)
 	g.mu.Lock()
 	g.requestedAt = startedAt
+	if t.Requirement().PrimaryOnly() {
+		g.primaryUsedAt = startedAt // also by a request that is rejected: the lease is renewed for the next one
+	}
 	if err := g.checkQueueable(t, startedAt); err != nil {
 		g.mu.Unlock()
 		return grant{err: err}
 	}
-	if t.Requirement().PrimaryOnly() {
-		g.primaryUsedAt = startedAt
-		if !g.lease.Valid(startedAt) {
-			g.wakeLoop()
-		}
+	if t.Requirement().PrimaryOnly() && !g.lease.Valid(startedAt) {
+		g.wakeLoop()
 	}
 	g.waiting[t] = granted
 	g.queue.Add(t, startedAt)
--- a/targets/renew_test.go
+++ b/targets/renew_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/schedule"
 )
 
 // TestOldRenewalOfAPeerBeginsNoLease guards against a second primary in use: a daemon that had no lease when another one
@@ -87,6 +88,29 @@
 	}
 }
 
+// TestRejectedRequestRenewsTheLease guards against a home whose lease has expired and that rejects every request without
+// renewing it, so that all of them take the way to another home.
+func TestRejectedRequestRenewsTheLease(t *testing.T) {
+	f := newFakeGroup(t)
+	g := f.open()
+	f.advance(time.Millisecond)
+	g.discover()
+	f.advance(time.Minute)
+	deadline := g.now().Add(time.Second)
+	ticket := schedule.NewTicket(schedule.Requirement{Primary: true}, 1, deadline, deadline)
+	if _, err := g.Acquire(ticket); err == nil {
+		t.Fatal("a request was granted a primary without a lease")
+	}
+	f.peers.err = nil
+	g.mu.Lock()
+	g.renewIfNeeded(f.timer.now)
+	g.mu.Unlock()
+	f.settle(t)
+	if !g.Ready() {
+		t.Error("the lease was not renewed")
+	}
+}
+
 // TestEndedLeaseIsNotRenewedByOldProof guards against a lease that the primary itself has shown to be over, by refusing a
 // write, and that a renewal requested before then brings back.
 func TestEndedLeaseIsNotRenewedByOldProof(t *testing.T) {
