The lease renewer keeps the lease of an unused group

Cause: a lease that no request needed for 3 s expired. One that has expired begins with the store, or with reports of all replicas.

What callers saw: while the store was away and a replica was down, a group that had been unused for 3 s had no usable primary until the store was back or the replica was delisted, although the primary and the other replica answered.

Change: the group's lease renewer renews the lease also while it is unused, at its age of 900 ms. The other daemons get theirs from its renewal when a request comes, as before. While an unused lease cannot be renewed and has expired, it is tried 900 ms after a failure instead of 150, so that groups without callers cause few calls in an outage. The proofs of a lease are unchanged.

--- a/targets/renew.go
+++ b/targets/renew.go
@@ -15,7 +15,8 @@
 	peerRenewalTimeout    = 150 * time.Millisecond // timeout of a request to the lease renewer
 	replicaRenewalAge     = 900 * time.Millisecond // age of the last renewal at which the replicas are queried instead
 	replicaRenewalTimeout = 200 * time.Millisecond // timeout of a request to one replica
-	leaseIdleTimeout      = 3 * time.Second        // after which an unused lease is not renewed
+	leaseIdleTimeout      = 3 * time.Second        // after which an unused lease is renewed by the lease renewer only
+	unusedRenewInterval   = 900 * time.Millisecond // age of the last renewal at which an unused lease is renewed
 	primaryCheckInterval  = 450 * time.Millisecond // between two checks of a primary whose lease no replica renews
 )
 
@@ -51,15 +52,14 @@
 	g.lease.IgnoreBefore(now)
 }
 
-// renewIfNeeded starts a renewal of the lease if one is due and requests use the primary. The lease renewer of the group
-// renews at a replica, and the other instances take over its renewals. It also renews an unused lease until the group is
-// recorded as free. The caller holds mu.
+// renewIfNeeded starts a renewal of the lease if one is due. The lease renewer of the group renews at a replica, also while
+// no request uses the primary: a lease that has expired begins only with the store or with reports of all replicas. The
+// other instances take over its renewals while requests use the primary. The caller holds mu.
 func (g *Group) renewIfNeeded(now citronusher.Instant) {
 	renewer, isPeer := g.set.leaseRenewer(g.name)
-	unrecorded := !isPeer && g.home && g.recordedEra != g.set.config.Store.Era().Number
-	used := g.queue.PrimaryLen() > 0 || now < g.primaryUsedAt.Add(leaseIdleTimeout) || unrecorded || g.primaryInUse()
-	due := now >= g.renewalSentAt.Add(renewInterval) && now >= g.nextRenewalAt
-	if g.renewing || g.lease.Term() == 0 || g.lease.Closed() || !used || !due {
+	used := g.primaryUsed(now)
+	kept := used || !isPeer && g.home
+	if g.renewing || g.lease.Term() == 0 || g.lease.Closed() || !kept || !g.renewalDue(used, now) {
 		return
 	}
 	switch {
@@ -73,6 +73,25 @@
 	}
 }
 
+// primaryUsed reports whether requests, or the leases of other instances, have needed the lease recently. The caller holds
+// mu.
+func (g *Group) primaryUsed(now citronusher.Instant) bool {
+	return g.queue.PrimaryLen() > 0 || now < g.primaryUsedAt.Add(leaseIdleTimeout) || g.primaryInUse()
+}
+
+// renewalDue reports whether it is time for a renewal. Once the group is recorded as free, an unused lease is renewed less
+// often, and after a failure it is left alone for longer if it has expired. The caller holds mu.
+func (g *Group) renewalDue(used bool, now citronusher.Instant) bool {
+	interval, delay := renewInterval, time.Duration(0)
+	if !used && g.recordedEra == g.set.config.Store.Era().Number {
+		interval = unusedRenewInterval
+		if !g.lease.Valid(now) {
+			delay = unusedRenewInterval
+		}
+	}
+	return now >= g.renewalSentAt.Add(interval) && now >= g.nextRenewalAt.Add(delay)
+}
+
 // primaryInUse reports whether a request holds a connection to the primary, so that its answer will need the lease. The
 // caller holds mu.
 func (g *Group) primaryInUse() bool {
--- a/targets/renew_test.go
+++ b/targets/renew_test.go
@@ -111,6 +111,68 @@
 	}
 }
 
+// TestLeaseOfAnUnusedGroupIsKept guards against a group without a usable primary in an outage of the store, because nobody
+// had used it and the proof by which a lease begins cannot be had: its lease renewer renews the lease, and nobody else.
+func TestLeaseOfAnUnusedGroupIsKept(t *testing.T) {
+	for _, renewer := range []string{"d1", "d2"} {
+		f := newFakeGroup(t)
+		f.set.SetInstances([]citronusher.Instance{instance(renewer)})
+		g := f.open()
+		f.advance(time.Millisecond)
+		g.discover()
+		f.advance(renewInterval)
+		g.renewFromReplicas() // on connections that are older than the lease from now on
+		f.store.err = citronusher.ErrUnavailable
+		f.members["c"].silent = true
+		for range 200 {
+			f.advance(watchInterval)
+			g.mu.Lock()
+			g.renewIfNeeded(f.timer.now)
+			g.mu.Unlock()
+			f.settle(t)
+		}
+		if g.Ready() != (renewer == f.set.config.Self) {
+			t.Errorf("lease renewer %s: lease of %s valid %t", renewer, f.set.config.Self, g.Ready())
+		}
+	}
+}
+
+// TestUnusedLeaseIsRenewedSeldom guards against the cost of groups that nobody uses: reports of replicas, and calls to the
+// store while a lease cannot begin.
+func TestUnusedLeaseIsRenewedSeldom(t *testing.T) {
+	f := newFakeGroup(t)
+	f.set.SetInstances([]citronusher.Instance{instance("d1")})
+	g := f.open()
+	f.advance(time.Millisecond)
+	g.discover()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range []struct {
+		name  string
+		valid bool
+		used  bool
+		after time.Duration // since the last renewal, and since the last attempt that failed
+		due   bool
+	}{
+		{"used", true, true, renewInterval, true},
+		{"unused", true, false, renewInterval, false},
+		{"unused for longer", true, false, unusedRenewInterval, true},
+		{"used, expired", false, true, renewInterval, true},
+		{"unused, expired", false, false, unusedRenewInterval - 1, false},
+		{"unused, expired, for longer", false, false, unusedRenewInterval, true},
+	} {
+		now := f.timer.now
+		g.renewalSentAt, g.nextRenewalAt = now.Add(-c.after), 0
+		if !c.valid {
+			now = now.Add(time.Minute)
+			g.nextRenewalAt = now.Add(-c.after)
+		}
+		if due := g.renewalDue(c.used, now); due != c.due {
+			t.Errorf("%s: due %t", c.name, due)
+		}
+	}
+}
+
 // TestEndedLeaseIsNotRenewedByOldProof guards against a lease that the primary itself has shown to be over, by refusing a
 // write, and that a renewal requested before then brings back.
 func TestEndedLeaseIsNotRenewedByOldProof(t *testing.T) {
