A home whose lease has expired takes over the renewal of any other home

Cause: the lease renewer of a group asks replicas only, and the other homes ask the renewer. When the renewer's lease had expired, for example because it was frozen, it began a new one by the claim or by reports of all replicas. While the store was away and a replica down, neither could be had, although the other homes still had leases.

What callers saw: requests for the primary that came to that home were rejected until the store was back or another home served them.

Evidence: TestRenewerTakesOverTheLeaseOfAHome failed on the code before: 'no lease, although the other home has one'.

Change: a home without a valid lease that the replicas and the store do not give one asks the group's other homes for their renewal ages. What such a renewal proves is unchanged (lease.ObservePeerRenewal).

--- a/targets/renew.go
+++ b/targets/renew.go
@@ -83,31 +83,56 @@
 // renewFromPeer renews the lease with a renewal of the lease renewer. If that fails and the last renewal is older than
 // replicaRenewalAge, it queries the replicas.
 func (g *Group) renewFromPeer(renewer citronusher.Instance) {
+	g.takeRenewal(renewer)
+	g.mu.Lock()
+	outdated := g.now() >= g.renewalSentAt.Add(replicaRenewalAge)
+	if !outdated {
+		g.renewing = false
+	}
+	g.mu.Unlock()
+	if outdated {
+		g.renewFromReplicas()
+	}
+}
+
+// takeRenewal renews the lease with the latest renewal of another instance, and reports whether the lease is valid then.
+func (g *Group) takeRenewal(from citronusher.Instance) bool {
 	g.mu.Lock()
 	term := g.lease.Term()
 	g.mu.Unlock()
 	ctx, cancel := context.WithTimeout(g.set.ctx, peerRenewalTimeout)
+	defer cancel()
 	sentAt := g.now()
-	age, err := g.set.config.Peers.LeaseRenewalAge(ctx, renewer, g.name, term)
-	cancel()
+	age, err := g.set.config.Peers.LeaseRenewalAge(ctx, from, g.name, term)
+	if err != nil {
+		return false
+	}
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	valid := g.lease.Valid(g.now())
-	if err == nil && g.lease.ObservePeerRenewal(term, sentAt.Add(-age)) == lease.Renewed {
-		if !valid && g.lease.Valid(g.now()) {
-			g.logBegan(&g.lease, g.primary, proofPeer, g.now())
-		}
-		g.renewalSentAt = max(g.renewalSentAt, sentAt.Add(-age))
-		g.notifyChanged()
-		g.dispatch(g.now())
+	if g.lease.ObservePeerRenewal(term, sentAt.Add(-age)) != lease.Renewed {
+		return false
 	}
-	outdated := g.now() >= g.renewalSentAt.Add(replicaRenewalAge)
-	if !outdated {
-		g.renewing = false
+	now := g.now()
+	if !valid && g.lease.Valid(now) {
+		g.logBegan(&g.lease, g.primary, proofPeer, now)
 	}
-	g.mu.Unlock()
-	if outdated {
-		g.renewFromReplicas()
+	g.renewalSentAt = max(g.renewalSentAt, sentAt.Add(-age))
+	g.notifyChanged()
+	g.dispatch(now)
+	return g.lease.Valid(now)
+}
+
+// takeRenewalOfHome renews a lease that has expired with the renewal of a home that has one, because nothing else may begin
+// it while the store does not answer. It reports whether the lease is valid then.
+func (g *Group) takeRenewalOfHome() bool {
+	list, count := g.set.Homes(g.name)
+	for _, home := range list[:min(count, len(list))] {
+		if home.Name() != g.set.config.Self && g.takeRenewal(home) {
+			return true
+		}
 	}
+	return false
 }
 
 // leaseRenewalAge returns the time since the request that last renewed the lease of a term was sent to a replica. It
@@ -146,9 +171,14 @@
 	if g.establishFrom(unproven) {
 		return
 	}
+	_, leased := g.leasedTerm()
+	renewed := !leased && g.takeRenewalOfHome()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.renewing = false
+	if renewed {
+		return
+	}
 	now := g.now()
 	g.nextRenewalAt = now.Add(establishInterval)
 	if g.lease.Valid(now) {
--- a/targets/renew_test.go
+++ b/targets/renew_test.go
@@ -115,3 +115,23 @@
 		f.settle(t)
 	}
 }
+
+// TestRenewerTakesOverTheLeaseOfAHome guards against a lease renewer without a usable primary in an outage of the store, for
+// example after it was frozen, although another home has a lease.
+func TestRenewerTakesOverTheLeaseOfAHome(t *testing.T) {
+	f := newFakeGroup(t)
+	first, self := f.set.homes.list[0], citronusher.NewInstance("d1", "127.0.0.1:2", "z", citronusher.InstanceLive)
+	f.set.plan.Groups = map[string]citronusher.GroupPlan{"g": {Name: "g", Connections: 16}}
+	f.set.homes.setInstances([]citronusher.Instance{self, first})
+	g := f.open()
+	f.advance(time.Millisecond)
+	g.discover()
+	f.store.err, f.members["c"].silent = citronusher.ErrUnavailable, true
+	f.advance(time.Minute)
+	f.peers.age, f.peers.err = 100*time.Millisecond, nil
+	g.renewFromReplicas()
+	if !g.Ready() {
+		t.Error("no lease, although the other home has one")
+	}
+	f.settle(t)
+}
