Reports of all replicas begin a lease only with a list of members of just before

Cause: a daemon without a lease that could not read the claim trusted two rounds of reports of all replicas that it knew. A member that joined after its last list could have been promoted by a daemon that the store answers. The promoter pauses every replica, but the effect of the promotion ends the pauses ("until RESUME, a promote, or the replica's restart"), so that a replica that is cut from the new primary reports the old term, unpaused: no restart is needed. The same held where the store answers but the claim's row has ended or is of another era: the list that was used could be any age.

What callers saw: a primary that had been replaced was used (ONE, STALE).

Evidence: TestUnknownMemberMayLead failed: 'primary "a" of term 1 is used after b leads term 2'. TestMemberJoinsAfterTheList failed for a daemon that is frozen and for one that is asked for a release.

Change: the daemon lists the members in the store first, and all replicas on that list have to report. The last report has to arrive within the TTL of a lease from when the list was requested, and the daemon may have released no lease since. A listed member at whose address another one answers does not count as one that reported.

Why it works: a member that was promoted reports it if it is on the list. If it was listed later, its promoter has paused the other replicas later too, and then waits a TTL before its request, because this daemon has released nothing: the reports came before, and the lease that they begin ends before that request.

Result: without the store's list no lease begins. Groups on which no home has a lease when an outage of the store begins have no usable primary until it is over, also when all members answer; before, they had one after two rounds of reports.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -107,6 +107,18 @@
 	return true
 }
 
+// EstablishListed is Establish for a caller that does not know whether a successor was claimed, by reports of all replicas
+// on a list of members. The list was requested from the store at listedAt, the first report at requestedAt, and the last one
+// arrived until now. A member that leads a newer term would have reported it, unless it was listed later. The promotion of
+// such a member has paused the others since then, and waited for TTL after that, because this daemon has released no lease
+// since: the reports came before.
+func (l *Lease) EstablishListed(requestedAt, listedAt, now citronusher.Instant) bool {
+	if listedAt <= l.after || now >= listedAt.Add(TTL) {
+		return false
+	}
+	return l.Establish(requestedAt)
+}
+
 // ObservePeerRenewal applies a renewal that another daemon received from a replica. requestedAt is on this
 // daemon's clock and not later than that daemon's request to the replica.
 func (l *Lease) ObservePeerRenewal(term uint64, requestedAt citronusher.Instant) Verdict {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -51,6 +51,9 @@
 				fmt.Fprintf(&out, "%s: %s\n", line, verdicts[r.ObserveReport(report, at(number(t, fields[7])))])
 			case "establish": // establish AT
 				fmt.Fprintf(&out, "%s: %t\n", line, r.Establish(at(number(t, fields[1]))))
+			case "listed": // listed AT asked AT arrived AT
+				established := r.EstablishListed(at(number(t, fields[3])), at(number(t, fields[1])), at(number(t, fields[5])))
+				fmt.Fprintf(&out, "%s: %t\n", line, established)
 			case "peer": // peer TERM asked AT
 				verdict := r.ObservePeerRenewal(uint64(number(t, fields[1])), at(number(t, fields[3]))) //nolint:gosec // small
 				fmt.Fprintf(&out, "%s: %s\n", line, verdicts[verdict])
--- a/targets/claim.go
+++ b/targets/claim.go
@@ -35,12 +35,9 @@
 	m.claimReadAt = sentAt
 	m.requestDeadline, m.claimDeadline = promotion.RequestDeadline(sentAt), promotion.ClaimDeadline(sentAt)
 	m.unrequested = promotion.Unrequested(read, era, replaced)
-	listedAt := g.now()
-	members, err := g.set.config.Store.Members(ctx)
-	if err != nil {
+	if m.members, err = g.readMembers(ctx); err != nil {
 		return "the members could not be read: " + err.Error()
 	}
-	g.set.SetMembers(members, listedAt)
 	return ""
 }
 
--- a/targets/discover.go
+++ b/targets/discover.go
@@ -144,18 +144,18 @@
 func (g *Group) adopt(replies []memberReply) bool {
 	found := reportedPrimary(replies)
 	if found == nil {
-		return g.adoptWith(replies, claimHeld)
+		return g.adoptWith(replies, evidence{claim: claimHeld})
 	}
 	l, p := g.examine(found, replies)
 	if p.newest == 0 || l.Closed() || l.Valid(g.now()) {
-		return g.adoptWith(replies, claimHeld)
+		return g.adoptWith(replies, evidence{claim: claimHeld})
 	}
-	return g.adoptWith(g.addClaim(promotion.Primary{Term: found.status.Term, ID: found.id}, replies, p.complete))
+	return g.adoptWith(g.addEvidence(promotion.Primary{Term: found.status.Term, ID: found.id}, replies, p.complete))
 }
 
-// adoptWith is adopt for a caller that knows the state of the claim at a time after the reports were requested; with
+// adoptWith is adopt for a caller that knows what the store shows at a time after the reports were requested; with
 // claimHeld no lease is established. It adopts the primary of the highest term that any member has reported.
-func (g *Group) adoptWith(replies []memberReply, claim claimState) bool {
+func (g *Group) adoptWith(replies []memberReply, e evidence) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
@@ -181,13 +181,12 @@
 		g.markUnavailable(now, false)
 		return false
 	}
-	p.claim = claim
 	valid := newLease.Valid(now)
-	if p.establish(&newLease) && !valid {
-		g.logBegan(&newLease, found.id, p.name(), now)
+	if p.establish(&newLease, e, now) && !valid {
+		g.logBegan(&newLease, found.id, e.proofName(), now)
 	}
 	g.setPrimary(found, newLease, now)
-	if claim == claimOverdue {
+	if e.claim == claimOverdue {
 		g.markUnavailable(now, false)
 	}
 	return true
--- a/targets/establish.go
+++ b/targets/establish.go
@@ -14,11 +14,23 @@
 	establishInterval = 150 * time.Millisecond // between two attempts to establish a lease from reports of replicas
 )
 
-// proof is what reports of replicas, and the claim on the group, show about the term of a lease.
+// proof is what reports of replicas show about the term of a lease.
 type proof struct {
-	complete       bool                // every member but the primary has reported the term
+	reported       map[string]bool     // the primary, and the members that have reported the term
+	complete       bool                // every known member but the primary has reported the term
 	oldest, newest citronusher.Instant // when the first and the last of the reports were requested; 0 without reports
-	claim          claimState
+}
+
+// evidence is what the store shows about promotions.
+type evidence struct {
+	claim   claimState
+	members memberList // needed when the claim is unknown
+}
+
+// memberList holds the members that a group had in the store; it is empty when the store did not answer.
+type memberList struct {
+	ids         []string
+	requestedAt citronusher.Instant
 }
 
 // claimState is what the claim on a group shows about the promotion of a successor to the primary of a term.
@@ -37,22 +49,35 @@
 	claimOverdue
 )
 
-// establish begins or renews the lease if the proof suffices. With a claim in an unknown state the reports of all replicas
-// are needed: a member that was promoted would be among them.
-func (p proof) establish(l *lease.Lease) bool {
+// establish begins or renews the lease if the reports, which arrived until now, and the evidence suffice. With a claim in an
+// unknown state the reports of all replicas that the store lists are needed: a member that was promoted would be among them.
+func (p proof) establish(l *lease.Lease, e evidence, now citronusher.Instant) bool {
 	switch {
 	case p.newest == 0:
 		return false
-	case p.claim == claimFree:
+	case e.claim == claimFree:
 		return l.Establish(p.newest)
+	case e.claim == claimUnknown && p.complete && p.includes(e.members):
+		return l.EstablishListed(p.oldest, e.members.requestedAt, now)
 	default:
-		return p.claim == claimUnknown && p.complete && l.Establish(p.oldest)
+		return false
+	}
+}
+
+// includes reports whether every member of a list is the primary or has reported the term. One at whose address another
+// member answers has not: it may have been promoted before it was replaced.
+func (p proof) includes(list memberList) bool {
+	for _, id := range list.ids {
+		if !p.reported[id] {
+			return false
+		}
 	}
+	return len(list.ids) > 0
 }
 
-// name returns the proof by which establish begins a lease.
-func (p proof) name() proofName {
-	if p.claim == claimFree {
+// proofName returns the proof by which establish begins a lease.
+func (e evidence) proofName() proofName {
+	if e.claim == claimFree {
 		return proofClaimFree
 	}
 	return proofAllReplicas
@@ -63,8 +88,7 @@
 func (g *Group) observeReports(
 	l *lease.Lease, primary string, replies []memberReply, now citronusher.Instant,
 ) proof {
-	var p proof
-	reported := map[string]bool{primary: true}
+	p := proof{reported: map[string]bool{primary: true}}
 	for _, r := range replies {
 		if r.err != nil || r.id == primary {
 			continue
@@ -73,7 +97,7 @@
 		if verdict != lease.Renewed && verdict != lease.Unproven {
 			continue
 		}
-		reported[r.id] = true
+		p.reported[r.id] = true
 		p.newest = max(p.newest, r.sentAt)
 		if p.oldest == 0 || r.sentAt < p.oldest {
 			p.oldest = r.sentAt
@@ -81,7 +105,7 @@
 	}
 	p.complete = true
 	for id, m := range g.members {
-		p.complete = p.complete && (reported[id] || m.wrongMember)
+		p.complete = p.complete && (p.reported[id] || m.wrongMember)
 	}
 	return p
 }
@@ -95,21 +119,50 @@
 	return l, p
 }
 
-// addClaim returns reports with the state of the claim that was read after them, with which they may establish a lease of
-// the term. A claim in an unknown state makes it request the reports of all members once more: a replica that restarted may
-// have forgotten a pause when it reported, and another one may have lost it later, when the promotion took effect.
-func (g *Group) addClaim(
+// addEvidence returns reports with what the store shows after them, with which they may establish a lease of the term. A
+// claim in an unknown state makes it list the members, and then request the reports of all of them once more: a replica
+// that restarted may have forgotten a pause when it reported, and another one may have lost it later, when the promotion
+// took effect.
+func (g *Group) addEvidence(
 	primary promotion.Primary, replies []memberReply, complete bool,
-) ([]memberReply, claimState) {
+) ([]memberReply, evidence) {
 	claim := g.readClaim(primary)
-	switch {
-	case claim != claimUnknown:
-		return replies, claim
-	case complete:
-		return g.queryAll(requestStatus), claimUnknown
-	default:
-		return replies, claimHeld
+	if claim != claimUnknown || !complete {
+		return replies, evidence{claim: claim}
+	}
+	members := g.listMembers()
+	if len(members.ids) == 0 {
+		return replies, evidence{claim: claim}
+	}
+	return g.queryAll(requestStatus), evidence{claim: claim, members: members}
+}
+
+// listMembers reads the group's members from the store. The list is empty if the store does not answer.
+func (g *Group) listMembers() memberList {
+	ctx, cancel := context.WithTimeout(g.set.ctx, claimReadTimeout)
+	defer cancel()
+	members, err := g.readMembers(ctx)
+	if err != nil {
+		return memberList{}
+	}
+	return members
+}
+
+// readMembers reads the members from the store, applies them to all groups and returns those of this one. Its error is that
+// of the store.
+func (g *Group) readMembers(ctx context.Context) (memberList, error) {
+	list := memberList{requestedAt: g.now()}
+	reports, err := g.set.config.Store.Members(ctx)
+	if err != nil {
+		return memberList{}, err
+	}
+	g.set.SetMembers(reports, list.requestedAt)
+	for _, report := range reports {
+		if report.Group == g.name {
+			list.ids = append(list.ids, report.ID)
+		}
 	}
+	return list, nil
 }
 
 // leaseFor returns a copy of the lease if it is for the primary found, or else a new one for it. The caller holds mu.
@@ -152,24 +205,24 @@
 	trial := g.lease
 	complete := g.observeReports(&trial, primary, replies, g.now()).complete
 	g.mu.Unlock()
-	replies, claim := g.addClaim(promotion.Primary{Term: term, ID: primary}, replies, complete)
+	replies, found := g.addEvidence(promotion.Primary{Term: term, ID: primary}, replies, complete)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.lease.Term() != term || g.primary != primary {
 		return false
 	}
-	if claim == claimOverdue {
-		g.markUnavailable(g.now(), false)
+	now := g.now()
+	if found.claim == claimOverdue {
+		g.markUnavailable(now, false)
 		return false
 	}
-	p := g.observeReports(&g.lease, primary, replies, g.now())
-	p.claim = claim
-	valid := g.lease.Valid(g.now())
-	if !p.establish(&g.lease) {
+	p := g.observeReports(&g.lease, primary, replies, now)
+	valid := g.lease.Valid(now)
+	if !p.establish(&g.lease, found, now) {
 		return false
 	}
 	if !valid {
-		g.logBegan(&g.lease, primary, p.name(), g.now())
+		g.logBegan(&g.lease, primary, found.proofName(), now)
 	}
 	g.renewing = false
 	g.renewalSentAt = p.newest
--- a/targets/promote.go
+++ b/targets/promote.go
@@ -33,6 +33,7 @@
 	primary         string // member that is replaced; empty if no primary is known
 	term            uint64 // highest term reported by any member when the attempt began
 	claim           citronusher.Claim
+	members         memberList          // the members, read after the claim was written
 	found           citronusher.Claim   // the claim before this attempt marked a request in it
 	claimReadAt     citronusher.Instant // when the request was sent from which the claim's end counts
 	claimDeadline   citronusher.Instant // until when nobody else can claim the group
@@ -191,11 +192,11 @@
 		m.group.adopt(replies) // another holder may have replaced the primary
 		return
 	}
-	claim := claimUnknown // the store may have lost one
+	found := evidence{claim: claimUnknown, members: m.members} // the store may have lost a claim
 	if m.unrequested {
-		claim = claimFree
+		found.claim = claimFree
 	}
-	if m.group.adoptWith(replies, claim) {
+	if m.group.adoptWith(replies, found) {
 		m.unrequested = m.unrequested || m.group.Ready()
 	}
 }
--- a/targets/request.go
+++ b/targets/request.go
@@ -96,7 +96,7 @@
 	replies := g.queryUp(requestStatus)
 	found := reportedPrimary(replies)
 	if found != nil && found.id == m.claim.Candidate.ID && g.now() < m.claimDeadline {
-		g.adoptWith(replies, claimFree)
+		g.adoptWith(replies, evidence{claim: claimFree})
 		return
 	}
 	g.adopt(replies)
--- a/targets/scripted_test.go
+++ b/targets/scripted_test.go
@@ -67,6 +67,8 @@
 	return s.claim, s.err
 }
 
+func (s *fakeStore) Members(context.Context) ([]citronusher.MemberReport, error) { return nil, s.err }
+
 func (*fakeStore) Era() citronusher.StoreEra { return citronusher.StoreEra{} }
 
 // fakePeers is the other daemons, which renewed their leases a time ago.
