--- a/targets/claim.go
+++ b/targets/claim.go
@@ -43,13 +43,10 @@
 
 // listMembers reads the members from the store and applies them.
 func (m *promotionAttempt) listMembers(ctx context.Context) string {
-	g := m.group
-	listedAt := g.now()
-	members, err := g.set.config.Store.Members(ctx)
-	if err != nil {
+	var err error
+	if m.members, err = m.group.readMembers(ctx); err != nil {
 		return "the members could not be read: " + err.Error()
 	}
-	g.set.SetMembers(members, listedAt)
 	return ""
 }
 
--- a/targets/stale_view_test.go
+++ b/targets/stale_view_test.go
@@ -227,7 +227,7 @@
 	return c.fakePlatform.Instant()
 }
 
-// TestFrozenHolderResumesNoReplica guards against a lease on the old primary, at a daemon that the store does not answer,
+// TestFrozenHolderResumesNoReplica guards against a lease on the old primary, at a daemon that cannot read the claim,
 // while a promotion may take effect: a holder that was frozen resumes the replicas long after its claim has ended.
 func TestFrozenHolderResumesNoReplica(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -255,7 +255,7 @@
 		close(clock.thawed)
 		frozen.Wait()
 		cutOff := p.newDaemon(t, "d3")
-		cutOff.set.config.Store = unreachableStore{p}
+		cutOff.set.config.Store = unreachableStore{fakePlatform: p, lists: true}
 		cutOff.discover()
 		if cutOff.Ready() {
 			t.Errorf("%q is used while the promotion of %s may take effect; b and c are paused under terms %d and %d",
