A marked request is one transaction: what runs on after it is rejected

Cause: a marker proves the transaction that it is in. An exchange that ends this transaction and goes on has statements that the marker says nothing of: after a COMMIT the marker is there although a later statement may not have run, after a ROLLBACK it is gone although a later statement was committed.

What callers saw: in an open transaction, and outside one, a marked "ROLLBACK; INSERT" whose answer was lost was reported as not run although the row was there, and a repetition inserted it again; without a loss too, as the marker was rolled back. "INSERT; COMMIT; INSERT" was reported as run though its second INSERT had failed. "COMMIT; BEGIN; INSERT" and then COMMIT found its own first marker, rolled back and answered that it ran.

Change: pg.ControlOf splits an exchange into its statements, in the order in which they run, and tells whether it commits and whether it runs on. A marked exchange that runs on is rejected before it is sent; an open transaction is rolled back. What can't be split for certain counts as running on where the words allow it.

Why it works: a request that is sent is one transaction, so that its marker is there exactly when it took effect. Reporting the loss as unknown instead would not keep a repetition from running: a rolled-back marker stops none, and the entry repeats marked requests whose outcome is unknown.

--- a/home/marker.go
+++ b/home/marker.go
@@ -31,6 +31,14 @@
 	return request.ID != "" && w.profile.RetryPolicy() == profile.RetryNever
 }
 
+// rejectRunsOn returns the failure of a marked exchange that goes on after the end of its transaction. A marker tells of the
+// transaction that it is in and of nothing else: what runs after a COMMIT may fail though the marker is committed, and what
+// runs after a ROLLBACK may be kept though the marker is not.
+func rejectRunsOn() error {
+	return citronusher.NewNotRun(citronusher.ReasonInput,
+		"a non-repeatable request is one transaction: nothing can run after its COMMIT or ROLLBACK in the same exchange")
+}
+
 // quote returns text as an SQL string literal.
 func quote(text string) string { return "'" + strings.ReplaceAll(text, "'", "''") + "'" }
 
--- a/home/superseded_test.go
+++ b/home/superseded_test.go
@@ -45,6 +45,8 @@
 	members []*member.Member
 	control []*group.Target // connections of the other home
 	conns   map[string]citronusher.DatabaseConn
+	// superseded is set once m1 is no longer the primary, so that no request can be confirmed.
+	superseded bool
 }
 
 func newGroupScript(t *testing.T) *groupScript {
@@ -131,6 +133,7 @@
 // supersede cuts the home from m2 and m3, and has the other home promote m2 to term 2 and write there.
 func (s *groupScript) supersede() {
 	s.t.Helper()
+	s.superseded = true
 	for _, i := range []int{1, 2} {
 		s.fault(i, "cut="+testedHome)
 		if _, err := s.control[i].Fence(s.t.Context(), 2, otherHome); err != nil {
@@ -169,9 +172,9 @@
 		s.t.Cleanup(func() { _ = conn.Close() })
 		s.conns[name] = conn
 	}
-	deadline := time.Now().Add(readDeadline)
-	if name == "setup" {
-		deadline = time.Now().Add(setupDeadline)
+	deadline := time.Now().Add(setupDeadline)
+	if s.superseded {
+		deadline = time.Now().Add(readDeadline)
 	}
 	answer := &answerText{}
 	request := citronusher.Request{
@@ -273,12 +276,16 @@
 	return fmt.Sprintf("%d rows: %s; ", len(a.values), a.values[0])
 }
 
-// line runs one line of a script: supersede, CONNECTION close, or CONNECTION HOW SQL, where HOW is query, prepared, flush,
-// page, last, or marked.
+// line runs one line of a script: supersede, lose-answer (of the next commit), CONNECTION close, or CONNECTION HOW SQL,
+// where HOW is query, prepared, flush, page, last, or marked. Marked requests on one connection have the same ID.
 func (s *groupScript) line(text string) string {
-	if text == "supersede" {
+	switch text {
+	case "supersede":
 		s.supersede()
 		return "m2 is the primary of term 2\n"
+	case "lose-answer":
+		s.fault(0, "mute=1")
+		return ""
 	}
 	name, rest, _ := strings.Cut(text, " ")
 	if rest == "close" {
@@ -323,3 +330,7 @@
 
 // TestVanishedCallerLeavesNoTransaction guards against an open transaction on a connection that serves the next caller.
 func TestVanishedCallerLeavesNoTransaction(t *testing.T) { runScripts(t, "testdata/vanished.txt") }
+
+// TestMarkedRequestRunsOnce guards against a marked request that is reported as not run or as run although it is not so, and
+// against one that a repetition with its ID runs again.
+func TestMarkedRequestRunsOnce(t *testing.T) { runScripts(t, "testdata/marked.txt") }
--- a/home/work.go
+++ b/home/work.go
@@ -37,6 +37,9 @@
 		return citronusher.Result{}, err
 	}
 	w.profile = p
+	if w.marked(request) && pg.ControlOf(request.Exchange).RunsOn {
+		return citronusher.Result{}, rejectRunsOn()
+	}
 	if !opensWrite(request.Exchange) {
 		if p.Replica() {
 			w.database.set.config.Meter.ReplicaEligible().Inc(1)
@@ -192,6 +195,11 @@
 	ctx context.Context, request citronusher.Request, buffer *answerBuffer,
 ) (citronusher.Result, error) {
 	buffer.check = w.streamCheck(ctx)
+	if w.marked(request) && pg.ControlOf(request.Exchange).RunsOn {
+		_ = w.conn.Close()
+		w.release()
+		return citronusher.Result{}, rejectRunsOn()
+	}
 	if w.marked(request) && w.conn.Status() == pg.StatusActive && pg.MayCommit(request.Exchange) {
 		if result, done, err := w.markCommit(ctx, request, buffer); done {
 			return result, err
