A marker is written before a commit, not before a word like END

Cause: in an open transaction a marked exchange got its marker when its text held a word such as COMMIT or END anywhere (pg.MayCommit), as in CASE ... The transaction went on with its own marker. At the COMMIT the second marker met the first one, which looked like that of an earlier attempt that had run.

Change: the marker is written before an exchange that has a statement that commits (pg.ControlOf); the checks of a marked exchange in a transaction are in prepareMarked.

Why it works: no statement that stays in the transaction is taken for its commit, so the marker is the last thing written in it.

--- a/home/marker.go
+++ b/home/marker.go
@@ -241,6 +241,24 @@
 	return values[0], false, nil
 }
 
+// prepareMarked writes the marker if an exchange of the open transaction commits it. done is true when the exchange must not
+// run.
+func (w *work) prepareMarked(
+	ctx context.Context, request citronusher.Request, buffer *answerBuffer,
+) (result citronusher.Result, done bool, err error) {
+	control := pg.ControlOf(request.Exchange)
+	switch {
+	case control.RunsOn:
+		_ = w.conn.Close()
+		w.release()
+		return result, true, rejectRunsOn()
+	case control.Commits && w.conn.Status() == pg.StatusActive:
+		return w.markCommit(ctx, request, buffer)
+	default:
+		return result, false, nil
+	}
+}
+
 // markCommit writes the marker of an explicit transaction immediately before its commit. done is true when the request
 // has already run, or when the marker could not be written.
 func (w *work) markCommit(
--- a/home/work.go
+++ b/home/work.go
@@ -195,13 +195,8 @@
 	ctx context.Context, request citronusher.Request, buffer *answerBuffer,
 ) (citronusher.Result, error) {
 	buffer.check = w.streamCheck(ctx)
-	if w.marked(request) && pg.ControlOf(request.Exchange).RunsOn {
-		_ = w.conn.Close()
-		w.release()
-		return citronusher.Result{}, rejectRunsOn()
-	}
-	if w.marked(request) && w.conn.Status() == pg.StatusActive && pg.MayCommit(request.Exchange) {
-		if result, done, err := w.markCommit(ctx, request, buffer); done {
+	if w.marked(request) {
+		if result, done, err := w.prepareMarked(ctx, request, buffer); done {
 			return result, err
 		}
 	}
