A transaction that meets a void marker commits; its own marker is no earlier attempt

Cause: at the COMMIT of a marked transaction any marker with its ID counted as that of an attempt that had run. It was not read. A void marker records the opposite, and a marker that the transaction itself holds records nothing.

What callers saw: after a first attempt whose outcome was resolved as not run, each repetition as an explicit transaction was rolled back and answered with COMMIT: an acknowledged write that is missing. Statements alone were right, because insertMarker replaces a void marker.

If it meets another one, earlierAttempt rolls back and reads it, and answers with the recorded outcome, or as not run if there is none.

Why it works: what is read after the rollback is committed by somebody else. A void marker is written only after the attempt that it stands for can no longer commit.

--- a/home/marker.go
+++ b/home/marker.go
@@ -22,6 +22,7 @@
 	recheckDelay   = 100 * time.Millisecond
 	pruneInterval  = 256 // marked requests between two deletions of expired markers
 
+	insertedOne = "INSERT 0 1" // command tag
 	codeUnique  = "23505"
 	codeNoTable = "42P01"
 )
@@ -259,31 +260,46 @@
 	}
 }
 
-// markCommit writes the marker of an explicit transaction immediately before its commit. done is true when the request
-// has already run, or when the marker could not be written.
+// markCommit writes the marker of an explicit transaction immediately before its commit, in place of a void one. done is
+// true when the request has already run, or when the marker could not be written.
 func (w *work) markCommit(
 	ctx context.Context, request citronusher.Request, buffer *answerBuffer,
 ) (result citronusher.Result, done bool, err error) {
-	insert := fmt.Sprintf("INSERT INTO citronusher_marker (id, tag, made) VALUES (%s, 'COMMIT', %d)", quote(request.ID),
-		w.database.now().Unix())
+	insert := fmt.Sprintf("INSERT INTO citronusher_marker (id, tag, made) VALUES (%s, 'COMMIT', %d) ON CONFLICT (id) "+
+		"DO UPDATE SET tag = excluded.tag, made = excluded.made WHERE citronusher_marker.tag = '%s'", quote(request.ID),
+		w.database.now().Unix(), tagVoid)
 	_, answer, err := w.conn.Query(ctx, insert)
-	if err != nil {
+	switch {
+	case err != nil:
 		err = w.notCommitted(err)
-		w.release()
-		return result, true, err
-	}
-	switch answer.ErrorCode {
-	case "":
-		return result, false, nil
-	case codeUnique:
-		result, err = w.repeated(ctx, request, "COMMIT", buffer)
-	default:
+	case answer.ErrorCode != "":
 		// The failed statement aborted this transaction. A missing table is created for the caller's next attempt.
 		_, _, _ = w.conn.Query(ctx, "ROLLBACK")
 		_, _, _ = w.conn.Query(ctx, createMarkers)
 		err = citronusher.NewNotRun(citronusher.ReasonBroken,
 			"the marker could not be written, and the transaction is rolled back: %s", answer.Message)
+	case answer.CommandTag == insertedOne:
+		return result, false, nil
+	default:
+		result, err = w.earlierAttempt(ctx, request, buffer)
 	}
 	w.release()
 	return result, true, err
 }
+
+// earlierAttempt rolls back the open transaction, which has met a marker of its request, and answers with the outcome that
+// an earlier attempt recorded. If none did, the marker was the transaction's own.
+func (w *work) earlierAttempt(
+	ctx context.Context, request citronusher.Request, buffer *answerBuffer,
+) (citronusher.Result, error) {
+	tag, fresh, err := w.readMarker(ctx, request.ID)
+	if err != nil {
+		return citronusher.Result{}, w.notCommitted(err)
+	}
+	if fresh {
+		_, _, _ = w.conn.Query(ctx, "ROLLBACK")
+		return citronusher.Result{}, citronusher.NewNotRun(citronusher.ReasonBroken,
+			"another attempt of the request did not run; this one is rolled back")
+	}
+	return w.repeated(ctx, request, tag, buffer)
+}
