A replica is read only if a majority reported the term within the read's age

Cause: a replica was chosen by its own age, which tells what it lacks of the primary that it follows. A superseded primary and a replica of it go on to agree; in a group of five they may be without a majority. A home on their side can't see the promotion, and reads without a minimum position were not checked otherwise.

What callers saw: reads under a profile with an age of 3 s lacked what was acknowledged under the newer term, for as long as the home was cut off.

Change: chooseReplica requires that a majority answered with the home's term or an older one when it was asked within the profile's age (term.Monitor HeldSince). Otherwise the primary runs the read and confirms it.

Why it works: a newer term needs a majority, which shares a member with this one. That member had not accepted it when it was asked, so nothing was acknowledged under it before the age that the read accepts. The answers of probes and rounds are used; no check after the answer and no further request is needed.

Decided beside it (docs/decisions/confirm.md): waiting after the choice makes no answer older than the request allows, and a read at a replica may show commits that are never confirmed, which no check of the term excludes.

--- a/home/database.go
+++ b/home/database.go
@@ -200,7 +200,9 @@
 			"session, were lost with the former primary", seen, termStart.Term(), termStart.Offset())
 }
 
-// chooseReplica returns a replica for a read and the position that it has reached, or false when none is eligible.
+// chooseReplica returns a replica for a read and the position that it has reached, or false when none is eligible, or when
+// a newer term may have had a primary for longer than the read's profile allows: a replica can follow a superseded primary,
+// and its age tells only what it lacks of that one.
 func (d *database) chooseReplica(request citronusher.Request, p profile.Profile) (*target, citronusher.Position, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -208,6 +210,9 @@
 		return nil, citronusher.Position{}, false
 	}
 	need := d.requirementLocked(request, p)
+	if !d.monitor.HeldSince(need.Term, need.FreshSince) {
+		return nil, citronusher.Position{}, false
+	}
 	//nolint:gosec // the choice needs no secrecy
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	chosen, ok := route.ChooseReplica(d.candidates(), need, p.Class() == profile.ClassLong, random)
@@ -296,12 +301,16 @@
 	lines := []string{fmt.Sprintf("profile %s: class %s, repeat %s, at most %s",
 		p.Name(), p.Class(), p.RetryPolicy(), p.Timeout())}
 	need := route.Requirement{Term: d.term, FreshSince: d.now().Add(-p.MaxAge())}
+	held := d.monitor.HeldSince(need.Term, need.FreshSince)
 	for _, c := range d.candidates() {
 		switch {
 		case c.Name == d.primary:
 			lines = append(lines, fmt.Sprintf("%s: primary of term %d, load %.2f", c.Name, d.term, c.Load))
 		case !p.Replica():
 			lines = append(lines, c.Name+": replica, not allowed by the profile")
+		case !held:
+			lines = append(lines, fmt.Sprintf("%s: replica, not eligible (no majority reported term %d in the last %s)",
+				c.Name, d.term, p.MaxAge()))
 		case need.Eligible(c):
 			lines = append(lines, fmt.Sprintf("%s: replica, eligible, load %.2f", c.Name, c.Load))
 		default:
--- a/home/superseded_test.go
+++ b/home/superseded_test.go
@@ -30,15 +30,16 @@
 	setupDeadline = 20 * time.Second
 	readDeadline  = 400 * time.Millisecond // of a request that can't be confirmed
 	never         = 24 * time.Hour
-	stepPage      = 'p' // kind of an exchange that begins a transaction and reads a page; no message has it
-	stepLast      = 'l' // kind of an exchange that reads a page and rolls back; no message has it
+	replicaAge    = 3 * time.Second // of the data that the profile aged accepts
+	stepPage      = 'p'             // kind of an exchange that begins a transaction and reads a page; no message has it
+	stepLast      = 'l'             // kind of an exchange that reads a page and rolls back; no message has it
 )
 
 type systemClock struct{}
 
 func (systemClock) Now() time.Time { return time.Now() }
 
-// groupScript runs the lines of a script against a home and a group of three members; m1 is the primary of term 1.
+// groupScript runs the lines of a script against a home and a group of members; m1 is the primary of term 1.
 type groupScript struct {
 	t       *testing.T
 	set     *home.Set
@@ -49,11 +50,11 @@
 	superseded bool
 }
 
-func newGroupScript(t *testing.T) *groupScript {
+func newGroupScript(t *testing.T, members int) *groupScript {
 	t.Helper()
 	s := &groupScript{t: t, conns: map[string]citronusher.DatabaseConn{}}
 	upstream := ""
-	for i := range 3 {
+	for i := range members {
 		m, err := member.New(member.Options{
 			Name: fmt.Sprintf("m%d", i+1), Address: "127.0.0.1:0", Upstream: upstream, Connections: 16, Slots: 4,
 			Logger: slog.New(slog.DiscardHandler),
@@ -71,8 +72,9 @@
 	s.openHome()
 	s.run("setup", "strong", "", pg.StepQuery, "CREATE TABLE register (key INTEGER PRIMARY KEY, value TEXT)")
 	s.run("setup", "strong", "", pg.StepQuery, "INSERT INTO register VALUES (1, 'old')")
-	s.waitForLog(1)
-	s.waitForLog(2)
+	for i := range members {
+		s.waitForLog(i)
+	}
 	return s
 }
 
@@ -82,7 +84,7 @@
 		Self: testedHome, Login: pg.NewLogin("u", "p", testedHome, nil), Clock: systemClock{},
 		Logger: slog.New(slog.DiscardHandler), Meter: meter.New(), OnPromoted: func(string, uint64, string) {},
 		Policy: home.Policy{
-			Queue: true, Homes: true, PromotionTimeouts: term.Timeouts{Unresponsive: never, Refused: never},
+			Queue: true, Homes: true, Replicas: true, PromotionTimeouts: term.Timeouts{Unresponsive: never, Refused: never},
 			Limiter: func(int, int, int) admission.Limiter { return admission.Fixed(8) },
 		},
 	})
@@ -100,6 +102,11 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	aged := fmt.Sprintf(`{"replica": true, "age": %q}`, replicaAge)
+	document, err = document.Edit(profile.PartProfile, "aged", 2, []byte(aged))
+	if err != nil {
+		s.t.Fatal(err)
+	}
 	s.set.Apply(document)
 	s.set.SetRanks(map[string]int{testDatabase: 0}, 1)
 	s.waitFor("the primary", func() bool {
@@ -130,11 +137,11 @@
 	})
 }
 
-// supersede cuts the home from m2 and m3, and has the other home promote m2 to term 2 and write there.
+// supersede cuts the home from a majority without m1, and has the other home promote m2 to term 2 with it and write there.
 func (s *groupScript) supersede() {
 	s.t.Helper()
 	s.superseded = true
-	for _, i := range []int{1, 2} {
+	for i := 1; i <= term.Majority(len(s.members)); i++ {
 		s.fault(i, "cut="+testedHome)
 		if _, err := s.control[i].Fence(s.t.Context(), 2, otherHome); err != nil {
 			s.t.Fatal(err)
@@ -179,6 +186,7 @@
 	answer := &answerText{}
 	request := citronusher.Request{
 		Database: testDatabase, Profile: profileName, Caller: name, ID: id, Deadline: deadline, Exchange: exchange(s.t, kind, sql),
+		PositionKnown: true,
 	}
 	result, err := conn.Do(s.t.Context(), request, answer.add)
 	switch {
@@ -186,6 +194,8 @@
 		return answer.String() + citronusher.AsFailure(err).Outcome().String()
 	case result.Failed != "":
 		return answer.String() + "error " + result.Failed
+	case result.Replica:
+		return answer.String() + "ran at a replica"
 	default:
 		return answer.String() + "ran"
 	}
@@ -276,13 +286,22 @@
 	return fmt.Sprintf("%d rows: %s; ", len(a.values), a.values[0])
 }
 
-// line runs one line of a script: supersede, lose-answer (of the next commit), CONNECTION close, or CONNECTION HOW SQL,
-// where HOW is query, prepared, flush, page, last, or marked. Marked requests on one connection have the same ID.
+// line runs one line of a script: supersede, await-replicas (until they serve reads), wait (for as long as the profile aged
+// accepts data, and more), lose-answer (of the next commit), CONNECTION close, or CONNECTION HOW SQL, where HOW is query,
+// aged, prepared, flush, page, last, or marked. Marked requests on one connection have the same ID.
 func (s *groupScript) line(text string) string {
 	switch text {
 	case "supersede":
 		s.supersede()
 		return "m2 is the primary of term 2\n"
+	case "await-replicas":
+		s.waitFor("replicas", func() bool {
+			return s.run("setup", "aged", "", pg.StepQuery, "SELECT 1") == "1 rows: 1; ran at a replica"
+		})
+		return ""
+	case "wait":
+		time.Sleep(replicaAge + replicaAge/4)
+		return ""
 	case "lose-answer":
 		s.fault(0, "mute=1")
 		return ""
@@ -296,6 +315,8 @@
 	how, sql, _ := strings.Cut(rest, " ")
 	id, kind, profileName := "", pg.StepQuery, profile.Fresh
 	switch how {
+	case "aged":
+		profileName = "aged"
 	case "prepared":
 		kind = pg.StepSync
 	case "flush":
@@ -315,7 +336,9 @@
 // runScripts runs the scripts of a file, each against a group of its own.
 func runScripts(t *testing.T, path string) {
 	datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-		s := newGroupScript(t)
+		members := 3
+		d.MaybeScanArgs(t, "members", &members)
+		s := newGroupScript(t, members)
 		var out strings.Builder
 		for _, text := range strings.Split(strings.TrimSpace(d.Input), "\n") {
 			out.WriteString(s.line(text))
@@ -334,3 +357,7 @@
 // TestMarkedRequestRunsOnce guards against a marked request that is reported as not run or as run although it is not so, and
 // against one that a repetition with its ID runs again.
 func TestMarkedRequestRunsOnce(t *testing.T) { runScripts(t, "testdata/marked.txt") }
+
+// TestReplicaOfSupersededPrimary guards against reads that go on for ever at a replica of a superseded primary, by a home that
+// can't see the promotion: they lack what was acknowledged since, whatever age their profile accepts.
+func TestReplicaOfSupersededPrimary(t *testing.T) { runScripts(t, "testdata/replica.txt") }
--- a/term/monitor.go
+++ b/term/monitor.go
@@ -101,6 +101,18 @@
 	return count
 }
 
+// HeldSince reports whether a majority has answered a request that was sent at since or later with the given term or an older
+// one. Then nothing was acknowledged before since under a newer term.
+func (m *Monitor) HeldSince(term uint64, since time.Time) bool {
+	count := 0
+	for _, o := range m.members {
+		if o.known && o.state.Term() <= term && !o.state.RequestedAt().Before(since) {
+			count++
+		}
+	}
+	return count >= Majority(len(m.order))
+}
+
 // Majority returns the smallest number of members that is more than half of count.
 func Majority(count int) int { return count/2 + 1 }
 
--- a/term/term_test.go
+++ b/term/term_test.go
@@ -51,6 +51,11 @@
 			var rank int
 			_, _ = fmt.Sscan(fields[1], &rank)
 			s.monitor.SetRank(rank)
+		case "held": // held TERM SINCE
+			var heldTerm uint64
+			var since int
+			_, _ = fmt.Sscan(strings.Join(fields[1:], " "), &heldTerm, &since)
+			fmt.Fprintf(&out, "%d: term %d held since %d: %t\n", s.now, heldTerm, since, s.monitor.HeldSince(heldTerm, at(since)))
 		case "decide":
 			a := s.monitor.Decide(at(s.now))
 			switch {
