A whole transaction in one exchange has a marker

Cause: runMarked left out the marker when the exchange has a BEGIN, as that of a transaction goes before its COMMIT in a later exchange. An exchange such as "BEGIN; INSERT; COMMIT" has no later one. A BEGIN after a comment was not recognized: it was committed, with the marker, and the statements after it met that marker.

What callers saw: a repetition of "BEGIN; INSERT; COMMIT" inserted again, also the repetition that the entry makes itself after an unknown outcome. "/* x */ BEGIN", INSERT, COMMIT were answered as run, without the row.

Change: pg.ControlOf tells whether an exchange leaves open a transaction that it begins; only that one goes without a marker.

Why it works: every other exchange runs in the transaction of its marker, where a second BEGIN changes nothing.

--- a/home/marker.go
+++ b/home/marker.go
@@ -47,7 +47,7 @@
 func (w *work) runMarked(
 	ctx context.Context, t *target, request citronusher.Request, buffer *answerBuffer,
 ) (citronusher.Result, error) {
-	if opensWrite(request.Exchange) {
+	if pg.ControlOf(request.Exchange).Opens {
 		return w.runUnmarked(ctx, t, request, buffer) // markCommit writes the marker before the transaction's commit
 	}
 	ticket := t.ticket(request, w.profile)
--- a/pg/commit.go
+++ b/pg/commit.go
@@ -10,6 +10,8 @@
 var (
 	// commitPattern matches every statement that can commit or prepare a transaction. It may match other statements too.
 	commitPattern = regexp.MustCompile(`(?i)\b(commit|end|prepare)\b`)
+	// beginsPattern matches every statement that can begin a transaction. It may match other statements too.
+	beginsPattern = regexp.MustCompile(`(?i)\b(begin|start)\b`)
 	// endPattern matches every statement that can end a transaction; endThenMorePattern also requires another one after it.
 	endPattern         = regexp.MustCompile(`(?i)\b(commit|end|prepare|rollback|abort)\b`)
 	endThenMorePattern = regexp.MustCompile(`(?i)\b(commit|end|prepare|rollback|abort)\b[^;]*;\s*[^\s\x00]`)
--- a/pg/control.go
+++ b/pg/control.go
@@ -10,6 +10,8 @@
 
 // Control is what the statements of an exchange do to the transaction that they run in.
 type Control struct {
+	// Opens is true when the exchange begins an explicit transaction and leaves it open.
+	Opens bool
 	// Commits is true when the exchange commits or prepares the transaction.
 	Commits bool
 	// RunsOn is true when it ends the transaction and goes on in a later one, or may go on in another exchange before the
@@ -23,6 +25,7 @@
 	run, unrun, ok := statementsOf(exchange)
 	if !ok {
 		return Control{
+			Opens:   anyStatement(exchange, beginsPattern) && !MayCommit(exchange),
 			Commits: MayCommit(exchange),
 			RunsOn:  runsAfterEnd(exchange) || exchange.Partial && anyStatement(exchange, endPattern),
 		}
@@ -33,6 +36,7 @@
 		c.RunsOn = c.RunsOn || ended || s.commits() && s.chains()
 		c.Commits = c.Commits || s.commits()
 		ended = ended || s.ends()
+		c.Opens = (c.Opens || s.begins()) && !ended
 	}
 	c.RunsOn = c.RunsOn || ended && exchange.Partial || slices.ContainsFunc(unrun, statement.ends)
 	return c
--- a/pg/control_test.go
+++ b/pg/control_test.go
@@ -44,6 +44,7 @@
 func TestControlOfQueries(t *testing.T) {
 	const (
 		stays   = "stays"
+		opens   = "opens"
 		commits = "commits"
 		runsOn  = "runs on"
 		both    = "commits and runs on"
@@ -52,17 +53,22 @@
 		"INSERT INTO x VALUES (1)":                  stays,
 		"INSERT INTO x VALUES (1); COMMIT":          commits,
 		"insert into x values (1); commit work; ; ": commits,
-		"END":                                        commits,
-		"PREPARE TRANSACTION 'x'":                    commits,
-		"COMMIT AND NO CHAIN":                        commits,
-		"COMMIT; -- SELECT 1":                        commits,
-		"COMMIT /* ; SELECT 1 */":                    commits,
-		"ROLLBACK":                                   stays,
-		"INSERT INTO x VALUES (1); ABORT":            stays,
-		"ROLLBACK AND CHAIN":                         stays,
-		"ROLLBACK TO a; INSERT INTO x VALUES (1)":    stays,
-		"ROLLBACK WORK TO SAVEPOINT a; SELECT 1":     stays,
-		"BEGIN; INSERT INTO x VALUES (1); COMMIT":    commits,
+		"END":                                       commits,
+		"PREPARE TRANSACTION 'x'":                   commits,
+		"COMMIT AND NO CHAIN":                       commits,
+		"COMMIT; -- SELECT 1":                       commits,
+		"COMMIT /* ; SELECT 1 */":                   commits,
+		"ROLLBACK":                                  stays,
+		"INSERT INTO x VALUES (1); ABORT":           stays,
+		"ROLLBACK AND CHAIN":                        stays,
+		"ROLLBACK TO a; INSERT INTO x VALUES (1)":   stays,
+		"ROLLBACK WORK TO SAVEPOINT a; SELECT 1":    stays,
+		"BEGIN; INSERT INTO x VALUES (1); COMMIT":   commits,
+		"BEGIN; INSERT INTO x VALUES (1); ROLLBACK": stays,
+		"BEGIN":                               opens,
+		"/* x */ Start Transaction READ ONLY": opens,
+		"SELECT 1; BEGIN; INSERT INTO x VALUES (1)":  opens,
+		"BEGIN; SAVEPOINT a; ROLLBACK TO a":          opens,
 		"PREPARE p AS SELECT 1; EXECUTE p":           stays,
 		"SELECT CASE WHEN true THEN 1 END; SELECT 2": stays,
 		"SELECT 'commit; select'; SELECT 2":          stays,
@@ -96,6 +102,8 @@
 
 func describe(c pg.Control) string {
 	switch {
+	case c.Opens:
+		return "opens"
 	case c.Commits && c.RunsOn:
 		return "commits and runs on"
 	case c.Commits:
@@ -126,6 +134,7 @@
 		want     string
 	}{
 		"inserts":                  {extended(t, insert, insert), "stays"},
+		"begin and insert":         {extended(t, "BEGIN", insert), "opens"},
 		"inserts and commit":       {extended(t, "BEGIN", insert, insert, "COMMIT"), "commits"},
 		"commit and insert":        {extended(t, insert, "COMMIT", insert), "commits and runs on"},
 		"rollback and insert":      {extended(t, "ROLLBACK", insert), "runs on"},
--- a/pg/statement.go
+++ b/pg/statement.go
@@ -74,6 +74,11 @@
 	return s[i]
 }
 
+// begins reports whether the statement begins an explicit transaction.
+func (s statement) begins() bool {
+	return s.word(0) == "begin" || s.word(0) == "start" && s.word(1) == "transaction"
+}
+
 // commits reports whether the statement commits or prepares the transaction.
 func (s statement) commits() bool {
 	switch s.word(0) {
