A marked exchange can't roll back to a savepoint and commit

Cause: in an open transaction the marker is written before the exchange that commits. If that exchange first rolls back to a savepoint, which may be older, the marker is rolled back, and what follows is committed without one.

What callers saw: if the answer was lost, "not run" although the row was there; a repetition inserted again.

Change: pg.ControlOf tells of ROLLBACK TO; such an exchange that commits is rejected as not run.

Why it works: nothing between the marker and the commit can take the marker back without the commit failing.

--- a/home/marker.go
+++ b/home/marker.go
@@ -253,6 +253,11 @@
 		_ = w.conn.Close()
 		w.release()
 		return result, true, rejectRunsOn()
+	case control.Commits && control.RollsBackTo:
+		_ = w.conn.Close()
+		w.release()
+		return result, true, citronusher.NewNotRun(citronusher.ReasonInput, "a non-repeatable request can't roll back to a "+
+			"savepoint and commit in the same exchange: its record would be rolled back")
 	case control.Commits && w.conn.Status() == pg.StatusActive:
 		return w.markCommit(ctx, request, buffer)
 	default:
--- a/pg/commit.go
+++ b/pg/commit.go
@@ -12,6 +12,8 @@
 	commitPattern = regexp.MustCompile(`(?i)\b(commit|end|prepare)\b`)
 	// beginsPattern matches every statement that can begin a transaction. It may match other statements too.
 	beginsPattern = regexp.MustCompile(`(?i)\b(begin|start)\b`)
+	// rollbackPattern matches every statement that can roll back to a savepoint. It may match other statements too.
+	rollbackPattern = regexp.MustCompile(`(?i)\brollback\b`)
 	// endPattern matches every statement that can end a transaction; endThenMorePattern also requires another one after it.
 	endPattern         = regexp.MustCompile(`(?i)\b(commit|end|prepare|rollback|abort)\b`)
 	endThenMorePattern = regexp.MustCompile(`(?i)\b(commit|end|prepare|rollback|abort)\b[^;]*;\s*[^\s\x00]`)
--- a/pg/control.go
+++ b/pg/control.go
@@ -14,6 +14,8 @@
 	Opens bool
 	// Commits is true when the exchange commits or prepares the transaction.
 	Commits bool
+	// RollsBackTo is true when it rolls back to a savepoint.
+	RollsBackTo bool
 	// RunsOn is true when it ends the transaction and goes on in a later one, or may go on in another exchange before the
 	// target has told of the end.
 	RunsOn bool
@@ -25,9 +27,10 @@
 	run, unrun, ok := statementsOf(exchange)
 	if !ok {
 		return Control{
-			Opens:   anyStatement(exchange, beginsPattern) && !MayCommit(exchange),
-			Commits: MayCommit(exchange),
-			RunsOn:  runsAfterEnd(exchange) || exchange.Partial && anyStatement(exchange, endPattern),
+			Opens:       anyStatement(exchange, beginsPattern) && !MayCommit(exchange),
+			Commits:     MayCommit(exchange),
+			RollsBackTo: anyStatement(exchange, rollbackPattern),
+			RunsOn:      runsAfterEnd(exchange) || exchange.Partial && anyStatement(exchange, endPattern),
 		}
 	}
 	var c Control
@@ -35,6 +38,7 @@
 	for _, s := range run {
 		c.RunsOn = c.RunsOn || ended || s.commits() && s.chains()
 		c.Commits = c.Commits || s.commits()
+		c.RollsBackTo = c.RollsBackTo || s.rollsBackTo()
 		ended = ended || s.ends()
 		c.Opens = (c.Opens || s.begins()) && !ended
 	}
--- a/pg/control_test.go
+++ b/pg/control_test.go
@@ -61,14 +61,15 @@
 		"ROLLBACK":                                  stays,
 		"INSERT INTO x VALUES (1); ABORT":           stays,
 		"ROLLBACK AND CHAIN":                        stays,
-		"ROLLBACK TO a; INSERT INTO x VALUES (1)":   stays,
-		"ROLLBACK WORK TO SAVEPOINT a; SELECT 1":    stays,
+		"ROLLBACK TO a; INSERT INTO x VALUES (1)":   stays + ", undoes a part",
+		"ROLLBACK WORK TO SAVEPOINT a; COMMIT":      commits + ", undoes a part",
+		"ROLLBACK; SAVEPOINT to_a":                  runsOn,
 		"BEGIN; INSERT INTO x VALUES (1); COMMIT":   commits,
 		"BEGIN; INSERT INTO x VALUES (1); ROLLBACK": stays,
 		"BEGIN":                               opens,
 		"/* x */ Start Transaction READ ONLY": opens,
 		"SELECT 1; BEGIN; INSERT INTO x VALUES (1)":  opens,
-		"BEGIN; SAVEPOINT a; ROLLBACK TO a":          opens,
+		"BEGIN; SAVEPOINT a; ROLLBACK TO a":          opens + ", undoes a part",
 		"PREPARE p AS SELECT 1; EXECUTE p":           stays,
 		"SELECT CASE WHEN true THEN 1 END; SELECT 2": stays,
 		"SELECT 'commit; select'; SELECT 2":          stays,
@@ -101,6 +102,10 @@
 }
 
 func describe(c pg.Control) string {
+	if c.RollsBackTo {
+		c.RollsBackTo = false
+		return describe(c) + ", undoes a part"
+	}
 	switch {
 	case c.Opens:
 		return "opens"
--- a/pg/statement.go
+++ b/pg/statement.go
@@ -90,14 +90,14 @@
 	return false
 }
 
-// undoes reports whether the statement rolls back to a savepoint: ROLLBACK [WORK | TRANSACTION] TO.
-func (s statement) undoes() bool {
+// rollsBackTo reports whether the statement rolls back to a savepoint: ROLLBACK [WORK | TRANSACTION] TO.
+func (s statement) rollsBackTo() bool {
 	return s.word(0) == "rollback" && (s.word(1) == "to" || s.word(2) == "to")
 }
 
 // ends reports whether the statement ends the transaction.
 func (s statement) ends() bool {
-	return s.commits() || s.word(0) == "abort" || s.word(0) == "rollback" && !s.undoes()
+	return s.commits() || s.word(0) == "abort" || s.word(0) == "rollback" && !s.rollsBackTo()
 }
 
 // chains reports whether a statement that ends a transaction also begins the next one.
