An unknown outcome stays unknown when a retry is rejected

Cause: the entry retries a marked or idempotent request whose outcome is unknown, and reported the failure of the last attempt alone.

What callers saw: "not run" (53000, reason queue, for example) for a request that its first home may have run: the home or the way to it was lost, and the next home was busy or had no primary until the deadline.

Evidence: go test ./entry -run TestUnknownStaysUnknownAfterRetries: before, "53000 outcome: not run; reason: queue", want "08007 outcome: unknown; reason: peer".

Change: the entry keeps the unknown failure of an earlier attempt and returns it when the last one did not run, unless that failure stands for a void marker (reason repeat).

Why it works: a rejected attempt tells nothing of an earlier one; a void marker is written only when no attempt has committed.

Result: go test ./entry ./retry passes.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -200,6 +200,32 @@
 	}
 }
 
+// TestUnknownStaysUnknownAfterRetries guards against a request that may have run and is reported as not run, because a retry of
+// it did not run. Only the marker tells that no attempt did.
+func TestUnknownStaysUnknownAfterRetries(t *testing.T) {
+	unknown := citronusher.NewUnknown(citronusher.ReasonPeer, "x")
+	for name, c := range map[string]struct {
+		last error
+		want string
+	}{
+		"rejected retry":   {citronusher.NewNotRun(citronusher.ReasonQueue, "x"), "08007 outcome: unknown; reason: peer"},
+		"void marker":      {citronusher.NewNotRun(citronusher.ReasonRepeat, "x"), "UC002 outcome: not run; reason: repeat"},
+		"successful retry": {nil, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, first, second := newEntry(t, nil)
+			first.script, second.script = []error{unknown}, []error{c.last}
+			conn := dial(t, e, "-c citronusher.profile=never -c citronusher.request=order-1")
+			if _, err := conn.Exec(context.Background(), "INSERT"); state(err) != c.want {
+				t.Errorf("%s, want %s", state(err), c.want)
+			}
+			if len(first.asked) != 1 || len(second.asked) != 1 {
+				t.Errorf("asked %d and %d times", len(first.asked), len(second.asked))
+			}
+		})
+	}
+}
+
 // TestClosingStatementsNeedsNoHome guards against a Close message that is rejected because the target is overloaded. A
 // driver that received such an error no longer matched answers to its requests. The entry must answer it without a home.
 func TestClosingStatementsNeedsNoHome(t *testing.T) {
--- a/entry/run.go
+++ b/entry/run.go
@@ -91,6 +91,7 @@
 	budget := s.entry.budget(s.database)
 	budget.Deposit()
 	wasPinned := s.pinned
+	var unknown *citronusher.Failure // of an earlier attempt
 	for attempt := 0; ; attempt++ {
 		result, err := s.forwardRequest(ctx, request, p, attempt)
 		if err == nil {
@@ -108,11 +109,14 @@
 		}
 		if !retry.Allowed(next) || ctx.Err() != nil {
 			s.setLost(wasPinned, exchange, f)
-			return f
+			return ofAllAttempts(f, unknown)
 		}
 		if retry.UsesBudget(f.Reason()) && !budget.Withdraw() {
 			s.setLost(wasPinned, exchange, f)
-			return s.overBudget(f)
+			return ofAllAttempts(s.overBudget(f), unknown)
+		}
+		if f.Outcome() == citronusher.Unknown {
+			unknown = f
 		}
 		s.entry.config.Meter.CountRetry(f.Reason())
 		s.out = s.out[:0]
@@ -123,6 +127,15 @@
 	}
 }
 
+// ofAllAttempts returns the failure of a request whose last attempt failed with last. After an attempt with an unknown outcome
+// the request is not run only if its marker says so.
+func ofAllAttempts(last, unknown *citronusher.Failure) *citronusher.Failure {
+	if unknown != nil && last.Outcome() == citronusher.NotRun && last.Reason() != citronusher.ReasonRepeat {
+		return unknown
+	}
+	return last
+}
+
 // overBudget returns the failure of a request whose retry exceeds the retry budget.
 func (s *callerSession) overBudget(f *citronusher.Failure) *citronusher.Failure {
 	if f.Outcome() != citronusher.NotRun {
