A lost answer after a Flush is unknown if the transaction had ended

Cause: an exchange that ends with Flush is answered without the transaction status, and the connection kept the one before it. After "COMMIT" and Flush it still counted as inside the transaction.

What callers saw: the next exchange ran in a transaction of its own, which its Sync committed; if the answer was lost, it was reported as not run and rolled back.

Evidence: go test ./pg -run TestLostAnswerAfterFlushedEnd: before, "not run" after COMMIT and after ROLLBACK.

Change: after a Flush the status follows from the statements that ran (statusAfter): idle after an end, active after a BEGIN.

Why it works: with the status idle, a complete exchange whose answer is lost is unknown.

Result: go test ./pg ./peer ./home ./term passes.

--- a/home/superseded_test.go
+++ b/home/superseded_test.go
@@ -358,6 +358,6 @@
 // against one that a repetition with its ID runs again.
 func TestMarkedRequestRunsOnce(t *testing.T) { runScripts(t, "testdata/marked.txt") }
 
-// TestReplicaOfSupersededPrimary guards against reads that go on for ever at a replica of a superseded primary, by a home that
-// can't see the promotion: they lack what was acknowledged since, whatever age their profile accepts.
+// TestReplicaOfSupersededPrimary guards against reads that go on for ever at a replica of a superseded primary, by a home
+// that can't see the promotion: they lack what was acknowledged since, whatever age their profile accepts.
 func TestReplicaOfSupersededPrimary(t *testing.T) { runScripts(t, "testdata/replica.txt") }
--- a/pg/control.go
+++ b/pg/control.go
@@ -46,6 +46,28 @@
 	return c
 }
 
+// statusAfter returns the transaction status after an exchange that ended with Flush, so that the target has not told it. It
+// may be idle although a transaction is open, never the reverse.
+func statusAfter(exchange citronusher.Exchange, before byte) byte {
+	run, _, ok := statementsOf(exchange)
+	if !ok {
+		if anyStatement(exchange, endPattern) {
+			return StatusIdle
+		}
+		return before
+	}
+	status := before
+	for _, s := range run {
+		switch {
+		case s.ends():
+			status = StatusIdle
+		case s.begins():
+			status = StatusActive
+		}
+	}
+	return status
+}
+
 // statementsOf returns the statements of an exchange in the order in which they run, and those that are bound but not run.
 // ok is false when a text can't be split.
 func statementsOf(exchange citronusher.Exchange) (run, unrun []statement, ok bool) {
--- a/pg/control_test.go
+++ b/pg/control_test.go
@@ -131,7 +131,8 @@
 	required.RequiredStatements = exchange(t, &pgproto3.Parse{Name: "c", Query: "COMMIT"}).Messages
 	twice := exchange(t,
 		&pgproto3.Parse{Name: "c", Query: "COMMIT"}, &pgproto3.Parse{Name: "i", Query: insert},
-		&pgproto3.Bind{DestinationPortal: "1", PreparedStatement: "i"}, &pgproto3.Bind{DestinationPortal: "2", PreparedStatement: "c"},
+		&pgproto3.Bind{DestinationPortal: "1", PreparedStatement: "i"},
+		&pgproto3.Bind{DestinationPortal: "2", PreparedStatement: "c"},
 		&pgproto3.Execute{Portal: "2"}, &pgproto3.Execute{Portal: "1"}, &pgproto3.Sync{})
 	unrun := exchange(t, &pgproto3.Parse{Query: "COMMIT"}, &pgproto3.Bind{DestinationPortal: "1"}, &pgproto3.Sync{})
 	for name, c := range map[string]struct {
--- a/pg/exchange.go
+++ b/pg/exchange.go
@@ -75,6 +75,9 @@
 	if err != nil {
 		return answer, c.failure(before, exchange, len(raw), len(raw), err)
 	}
+	if exchange.Partial && answer.ErrorCode == "" {
+		answer.Status = statusAfter(exchange, answer.Status)
+	}
 	c.status = answer.Status
 	c.unsynced = exchange.Partial || (c.unsynced && len(raw) == 0)
 	return answer, nil
--- a/pg/outcome_test.go
+++ b/pg/outcome_test.go
@@ -308,3 +308,78 @@
 		t.Errorf("the target ran the commit %d times, reported: %v", executed, failure)
 	}
 }
+
+// serveFlushed answers a start-up, a query with the status active, the messages up to a Flush, and nothing after it.
+func serveFlushed(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	backend := pgproto3.NewBackend(conn, conn)
+	if _, err := backend.ReceiveStartupMessage(); err != nil {
+		return
+	}
+	backend.Send(&pgproto3.AuthenticationOk{})
+	backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	for backend.Flush() == nil {
+		message, err := backend.Receive()
+		if err != nil {
+			return
+		}
+		switch message.(type) {
+		case *pgproto3.Query:
+			backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("BEGIN")})
+			backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'T'})
+		case *pgproto3.Parse:
+			backend.Send(&pgproto3.ParseComplete{})
+		case *pgproto3.Bind:
+			backend.Send(&pgproto3.BindComplete{})
+		case *pgproto3.Execute:
+			backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("OK")})
+		case *pgproto3.Sync:
+			return
+		}
+	}
+}
+
+// TestLostAnswerAfterFlushedEnd guards against an exchange that is reported as rolled back with its transaction, although that
+// had ended before a Flush and the exchange committed a later one.
+func TestLostAnswerAfterFlushedEnd(t *testing.T) {
+	for end, want := range map[string]error{
+		"COMMIT": citronusher.ErrUnknown, "ROLLBACK": citronusher.ErrUnknown, "ROLLBACK TO a": citronusher.ErrNotRun,
+		"INSERT INTO x VALUES (1)": citronusher.ErrNotRun,
+	} {
+		t.Run(end, func(t *testing.T) {
+			listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = listener.Close() }()
+			var server errgroup.Group
+			server.Go(func() error {
+				conn, err := listener.Accept()
+				if err != nil {
+					return err
+				}
+				serveFlushed(conn)
+				return nil
+			})
+			defer func() { _ = server.Wait() }()
+			conn, err := pg.NewLogin("u", "p", "test", nil).Dial(t.Context(), listener.Addr().String(), "d")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			if _, _, err := conn.Query(t.Context(), "BEGIN"); err != nil {
+				t.Fatal(err)
+			}
+			ignore := func([]byte) error { return nil }
+			flushed := extended(t, end)
+			flushed.Messages = flushed.Messages[:len(flushed.Messages)-1]
+			flushed.Partial = true
+			if _, err := conn.Run(t.Context(), flushed, ignore); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := conn.Run(t.Context(), extended(t, "INSERT INTO x VALUES (2)"), ignore); !errors.Is(err, want) {
+				t.Errorf("%v, want %v", err, want)
+			}
+		})
+	}
+}
--- a/term/monitor.go
+++ b/term/monitor.go
@@ -101,8 +101,8 @@
 	return count
 }
 
-// HeldSince reports whether a majority has answered a request that was sent at since or later with the given term or an older
-// one. Then nothing was acknowledged before since under a newer term.
+// HeldSince reports whether a majority has answered a request that was sent at since or later with the given term or an
+// older one. Then nothing was acknowledged before since under a newer term.
 func (m *Monitor) HeldSince(term uint64, since time.Time) bool {
 	count := 0
 	for _, o := range m.members {
