A lost home after a Flush is unknown outside an explicit transaction

Cause: an entry that lost its stream to another home took every pinned session for one in a transaction that only a commit in the exchange could keep. A session is also pinned between a Flush and Sync, whose implicit transaction Sync commits.

What callers saw: Parse and Describe with Flush, then Bind, Execute of an INSERT and Sync: if the home or the way to it was lost, the INSERT was reported as not run and rolled back, though it may have been committed.

Evidence: go test ./peer -run TestLostExchangeInTransaction: before, "status I: not run, want unknown".

Change: the entry's side of the stream remembers whether an explicit transaction is open.

Why it works: only there nothing but a commit can keep what the exchange ran.

Result: go test ./peer passes.

--- a/peer/client.go
+++ b/peer/client.go
@@ -185,9 +185,9 @@
 
 // remoteConn forwards a caller's exchanges to a peer over one stream.
 type remoteConn struct {
-	peer   *Peer
-	stream *runStream
-	pinned bool
+	peer          *Peer
+	stream        *runStream
+	inTransaction bool // an explicit transaction is open; an implicit one, after a Flush, commits at Sync
 }
 
 // runStream is one stream to a home. mu serializes sending, since a cancel message is sent by another goroutine.
@@ -253,17 +253,22 @@
 			}
 		}
 		if f := response.GetFailure(); f != nil {
-			w.pinned = false
+			w.inTransaction = false
 			return citronusher.Result{}, fromFailure(f)
 		}
 		if r := response.GetResult(); r != nil {
 			result := fromResult(r)
-			w.pinned = result.Pinned
+			w.observe(result)
 			return result, nil
 		}
 	}
 }
 
+// observe records what a result tells of the transaction that is open.
+func (w *remoteConn) observe(result citronusher.Result) {
+	w.inTransaction = result.Pinned && result.Status != pg.StatusIdle
+}
+
 // connectionLost returns the failure of an exchange whose stream broke, with the outcome as far as it can be determined.
 func (w *remoteConn) connectionLost(request citronusher.Request, err error) error {
 	if errors.Is(err, io.EOF) {
@@ -271,7 +276,7 @@
 			err = cause
 		}
 	}
-	pinned := w.pinned
+	inTransaction := w.inTransaction
 	_ = w.Close()
 	switch {
 	case connect.CodeOf(err) == connect.CodeAborted:
@@ -279,7 +284,7 @@
 			w.peer.address)
 	case notDelivered(err), connect.CodeOf(err) == connect.CodeUnauthenticated:
 		return citronusher.NewNotRun(citronusher.ReasonPeer, "no connection to the home daemon %s: %v", w.peer.address, err)
-	case pinned && !pg.MayCommit(request.Exchange):
+	case inTransaction && !pg.MayCommit(request.Exchange):
 		return citronusher.NewNotRun(citronusher.ReasonPeer,
 			"the connection to the home daemon %s broke before the transaction's commit was sent; it is rolled back: %v",
 			w.peer.address, err)
@@ -296,6 +301,6 @@
 	}
 	err := w.stream.CloseRequest()
 	w.stream.cancel()
-	w.stream, w.pinned = nil, false
+	w.stream, w.inTransaction = nil, false
 	return err
 }
--- a/peer/client_test.go
+++ b/peer/client_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/pg"
 )
 
 // errGoAway is the HTTP/2 library's error for a stream that a stopping server did not accept.
@@ -33,3 +34,18 @@
 		}
 	}
 }
+
+// TestLostExchangeInTransaction guards against an exchange that is reported as rolled back, although its Sync has committed an
+// implicit transaction that began before a Flush.
+func TestLostExchangeInTransaction(t *testing.T) {
+	for status, want := range map[byte]citronusher.Outcome{
+		pg.StatusIdle: citronusher.Unknown, pg.StatusActive: citronusher.NotRun, pg.StatusFailed: citronusher.NotRun,
+	} {
+		w := &remoteConn{peer: &Peer{address: "127.0.0.1:1"}}
+		w.observe(citronusher.Result{Pinned: true, Status: status})
+		err := w.connectionLost(citronusher.Request{}, errors.New("unavailable: connection reset by peer"))
+		if got := citronusher.AsFailure(err).Outcome(); got != want {
+			t.Errorf("status %c: %s, want %s", status, got, want)
+		}
+	}
+}
