A marked request that is flushed in parts is one transaction

Cause: a marked exchange that ends with Flush was committed with its marker at the Flush. What followed up to Sync was another request for the home, and for the entry one without an identity.

What callers saw: a driver that sends Parse, Describe and Flush, and then Bind, Execute and Sync, spent the marker on the description. Through an entry, which drops the identity when the home reports the end of the request, its INSERT then runs unmarked, and again with each repetition (by reading; not run).

Change: such a request runs in an explicit transaction at the target up to Sync (home/flushed.go). Its marker is written after the last part, as before the COMMIT of a caller's own transaction, and committed with it.

Why it works: Sync commits nothing in an explicit transaction, so that the marker and all parts are committed together or not at all. A repetition meets the marker there and is rolled back.

--- a/home/marker.go
+++ b/home/marker.go
@@ -47,8 +47,11 @@
 func (w *work) runMarked(
 	ctx context.Context, t *target, request citronusher.Request, buffer *answerBuffer,
 ) (citronusher.Result, error) {
-	if pg.ControlOf(request.Exchange).Opens {
+	switch {
+	case pg.ControlOf(request.Exchange).Opens:
 		return w.runUnmarked(ctx, t, request, buffer) // markCommit writes the marker before the transaction's commit
+	case request.Exchange.Partial:
+		return w.runFlushed(ctx, t, request, buffer)
 	}
 	ticket := t.ticket(request, w.profile)
 	if err := w.acquire(ctx, t, ticket); err != nil {
@@ -259,20 +262,20 @@
 		return result, true, citronusher.NewNotRun(citronusher.ReasonInput, "a non-repeatable request can't roll back to a "+
 			"savepoint and commit in the same exchange: its record would be rolled back")
 	case control.Commits && w.conn.Status() == pg.StatusActive:
-		return w.markCommit(ctx, request, buffer)
+		return w.markCommit(ctx, request, "COMMIT", buffer)
 	default:
 		return result, false, nil
 	}
 }
 
-// markCommit writes the marker of an explicit transaction immediately before its commit, in place of a void one. done is
-// true when the request has already run, or when the marker could not be written.
+// markCommit writes the marker of an open transaction, with the command tag to record, immediately before its commit, in
+// place of a void one. done is true when the request has already run, or when the marker could not be written.
 func (w *work) markCommit(
-	ctx context.Context, request citronusher.Request, buffer *answerBuffer,
+	ctx context.Context, request citronusher.Request, tag string, buffer *answerBuffer,
 ) (result citronusher.Result, done bool, err error) {
-	insert := fmt.Sprintf("INSERT INTO citronusher_marker (id, tag, made) VALUES (%s, 'COMMIT', %d) ON CONFLICT (id) "+
+	insert := fmt.Sprintf("INSERT INTO citronusher_marker (id, tag, made) VALUES (%s, %s, %d) ON CONFLICT (id) "+
 		"DO UPDATE SET tag = excluded.tag, made = excluded.made WHERE citronusher_marker.tag = '%s'", quote(request.ID),
-		w.database.now().Unix(), tagVoid)
+		quote(tag), w.database.now().Unix(), tagVoid)
 	_, answer, err := w.conn.Query(ctx, insert)
 	switch {
 	case err != nil:
--- a/home/superseded_test.go
+++ b/home/superseded_test.go
@@ -288,7 +288,7 @@
 
 // line runs one line of a script: supersede, await-replicas (until they serve reads), wait (for as long as the profile aged
 // accepts data, and more), lose-answer (of the next commit), CONNECTION close, or CONNECTION HOW SQL, where HOW is query,
-// aged, prepared, flush, page, last, or marked. Marked requests on one connection have the same ID.
+// aged, prepared, flush, page, last, or marked, also marked-prepared and so on. Marked requests on one connection have the same ID.
 func (s *groupScript) line(text string) string {
 	switch text {
 	case "supersede":
@@ -314,6 +314,10 @@
 	}
 	how, sql, _ := strings.Cut(rest, " ")
 	id, kind, profileName := "", pg.StepQuery, profile.Fresh
+	if marked, ok := strings.CutPrefix(how, "marked"); ok {
+		id, profileName = "request-"+name, profile.Never
+		how = strings.TrimPrefix(marked, "-")
+	}
 	switch how {
 	case "aged":
 		profileName = "aged"
@@ -325,8 +329,6 @@
 		kind = stepPage
 	case "last": // the first row of a prepared statement and ROLLBACK, in one exchange
 		kind = stepLast
-	case "marked":
-		id, profileName = "request-"+name, profile.Never
 	}
 	sql = strings.ReplaceAll(sql, "LONG", "SELECT value FROM register, (WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL "+
 		"SELECT i + 1 FROM n WHERE i < 5000) SELECT i FROM n) AS many")
--- a/home/work.go
+++ b/home/work.go
@@ -19,6 +19,7 @@
 	target   *target
 	term     uint64
 	replica  bool
+	flushed  bool // a marked request has run up to a Flush, in a transaction of runFlushed
 	profile  profile.Profile
 }
 
@@ -200,12 +201,16 @@
 			return result, err
 		}
 	}
+	if w.flushed {
+		return w.continueFlushed(ctx, request, buffer)
+	}
 	answer, err := w.conn.Run(ctx, request.Exchange, buffer.write)
-	if err != nil {
+	switch {
+	case err != nil && w.marked(request):
+		w.release()
+		return w.resolveIfUnknown(ctx, request, buffer, err)
+	case err != nil:
 		w.release()
-		if w.marked(request) && citronusher.AsFailure(err).Outcome() == citronusher.Unknown {
-			return w.resolveOutcome(ctx, request, buffer, err)
-		}
 		return citronusher.Result{}, err
 	}
 	return w.complete(ctx, request, answer, buffer)
@@ -298,7 +303,7 @@
 		return
 	}
 	w.target.pool.Put(w.conn)
-	w.conn, w.target = nil, nil
+	w.conn, w.target, w.flushed = nil, nil, false
 }
 
 // Close releases the connection. An open transaction is rolled back by closing its connection.
