--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -200,8 +200,8 @@
 	}
 }
 
-// TestUnknownStaysUnknownAfterRetries guards against a request that may have run and is reported as not run, because a retry of
-// it did not run. Only the marker tells that no attempt did.
+// TestUnknownStaysUnknownAfterRetries guards against a request that may have run and is reported as not run, because a
+// retry of it did not run. Only the marker tells that no attempt did.
 func TestUnknownStaysUnknownAfterRetries(t *testing.T) {
 	unknown := citronusher.NewUnknown(citronusher.ReasonPeer, "x")
 	for name, c := range map[string]struct {
--- a/entry/run.go
+++ b/entry/run.go
@@ -127,8 +127,8 @@
 	}
 }
 
-// ofAllAttempts returns the failure of a request whose last attempt failed with last. After an attempt with an unknown outcome
-// the request is not run only if its marker says so.
+// ofAllAttempts returns the failure of a request whose last attempt failed with last. After an attempt with an unknown
+// outcome the request is not run only if its marker says so.
 func ofAllAttempts(last, unknown *citronusher.Failure) *citronusher.Failure {
 	if unknown != nil && last.Outcome() == citronusher.NotRun && last.Reason() != citronusher.ReasonRepeat {
 		return unknown
--- a/home/superseded_test.go
+++ b/home/superseded_test.go
@@ -288,7 +288,8 @@
 
 // line runs one line of a script: supersede, await-replicas (until they serve reads), wait (for as long as the profile aged
 // accepts data, and more), lose-answer (of the next commit), CONNECTION close, or CONNECTION HOW SQL, where HOW is query,
-// aged, prepared, flush, page, last, or marked, also marked-prepared and so on. Marked requests on one connection have the same ID.
+// aged, prepared, flush, page, last, or marked, also marked-prepared and so on. Marked requests on one connection have the
+// same ID.
 func (s *groupScript) line(text string) string {
 	switch text {
 	case "supersede":
--- a/peer/client_test.go
+++ b/peer/client_test.go
@@ -35,8 +35,8 @@
 	}
 }
 
-// TestLostExchangeInTransaction guards against an exchange that is reported as rolled back, although its Sync has committed an
-// implicit transaction that began before a Flush.
+// TestLostExchangeInTransaction guards against an exchange that is reported as rolled back, although its Sync has committed
+// an implicit transaction that began before a Flush.
 func TestLostExchangeInTransaction(t *testing.T) {
 	for status, want := range map[byte]citronusher.Outcome{
 		pg.StatusIdle: citronusher.Unknown, pg.StatusActive: citronusher.NotRun, pg.StatusFailed: citronusher.NotRun,
--- a/pg/outcome_test.go
+++ b/pg/outcome_test.go
@@ -339,8 +339,8 @@
 	}
 }
 
-// TestLostAnswerAfterFlushedEnd guards against an exchange that is reported as rolled back with its transaction, although that
-// had ended before a Flush and the exchange committed a later one.
+// TestLostAnswerAfterFlushedEnd guards against an exchange that is reported as rolled back with its transaction, although
+// that had ended before a Flush and the exchange committed a later one.
 func TestLostAnswerAfterFlushedEnd(t *testing.T) {
 	for end, want := range map[string]error{
 		"COMMIT": citronusher.ErrUnknown, "ROLLBACK": citronusher.ErrUnknown, "ROLLBACK TO a": citronusher.ErrNotRun,
