BenchmarkTransaction with several callers beside each other

That callers share confirmation rounds was expected, not measured. The benchmark now runs 1, 4 and 12 callers and reports what one of them waits for and the rounds for a transaction.

--- a/prove/capacity_test.go
+++ b/prove/capacity_test.go
@@ -176,20 +176,52 @@
 	b.StopTimer()
 }
 
-// BenchmarkTransaction reports the time of a transaction of three reads at its home, each confirmed, and the processor time
-// of it, summed over all daemons.
+// BenchmarkTransaction reports the time of a transaction of three reads at its home, each confirmed, by callers beside each
+// other: what one caller waits for, the processor time of it, summed over all daemons, and the confirmation rounds.
 func BenchmarkTransaction(b *testing.B) {
 	c := newCluster(b, clusterOptions{daemons: 2, homes: 1})
-	conn := c.mustDial(c.firstHome(), "")
-	used := sum(c.daemons, cpu)
-	for b.Loop() {
-		for _, sql := range []string{"BEGIN", "SELECT 1", "SELECT 2", "SELECT 3", "COMMIT"} {
-			if _, err := conn.Exec(context.Background(), sql); err != nil {
-				b.Fatal(err)
+	home := c.firstHome()
+	for _, callers := range []int{1, 4, 12} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			runTransactionsOf(b, c, home, callers, callers) // warms up: opens connections
+			used, rounds := sum(c.daemons, cpu), c.metric(home, "confirm.rounds")
+			startedAt := time.Now()
+			count := runTransactionsOf(b, c, home, callers, b.N)
+			each := time.Since(startedAt) * time.Duration(callers) / time.Duration(count)
+			b.ReportMetric(float64(each.Microseconds()), "us-caller/op")
+			b.ReportMetric((sum(c.daemons, cpu)-used)/float64(count)*1e6, "us-cpu/op")
+			b.ReportMetric((c.metric(home, "confirm.rounds")-rounds)/float64(count), "rounds/op")
+		})
+	}
+}
+
+// runTransactionsOf runs count transactions or a few more, divided among concurrent callers, and returns how many.
+func runTransactionsOf(b *testing.B, c *cluster, entry, callers, count int) int {
+	b.Helper()
+	conns := make([]*pgx.Conn, callers)
+	for i := range conns {
+		conns[i] = c.mustDial(entry, "")
+	}
+	each := (count + callers - 1) / callers
+	var group errgroup.Group
+	b.ResetTimer()
+	for i := range conns {
+		group.Go(func() error {
+			for range each {
+				for _, sql := range []string{"BEGIN", "SELECT 1", "SELECT 2", "SELECT 3", "COMMIT"} {
+					if _, err := conns[i].Exec(context.Background(), sql); err != nil {
+						return err
+					}
+				}
 			}
-		}
+			return nil
+		})
 	}
-	b.ReportMetric((sum(c.daemons, cpu)-used)/float64(b.N)*1e6, "us-cpu/op")
+	if err := group.Wait(); err != nil {
+		b.Fatal(err)
+	}
+	b.StopTimer()
+	return each * callers
 }
 
 // measureWriteGap runs a writer through every entry, injects the failure, and returns the longest time between two
