A session that loses its connection after a Flush has no transaction to end

Cause: the entry took every pinned session that lost its connection for one in an explicit transaction. A session is also pinned between a Flush and Sync.

What callers saw: status E and 25P02 for each later statement, until a ROLLBACK of a transaction that they had not begun.

Evidence: go test ./entry -run TestLostFlushIsNoTransaction: before, "status E after the loss" and 25P02.

Change: setLost asks for an end only if the session's status told of a transaction. After a Flush the status follows from the statements (pg statusAfter), also when the text of another statement can't be split.

Why it works: what is implicit ends with the connection, and the caller sees the error and the status idle.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -102,7 +102,7 @@
 		status = pg.StatusActive
 	}
 	position := citronusher.NewPosition(1, uint64(len(w.home.asked)))
-	return citronusher.Result{Status: status, Pinned: w.open, Position: position}, nil
+	return citronusher.Result{Status: status, Pinned: w.open || r.Exchange.Partial, Position: position}, nil
 }
 
 func (w *fakeWork) Close() error {
@@ -270,6 +270,36 @@
 	}
 }
 
+// TestLostFlushIsNoTransaction guards against a session that must end a transaction which it has never begun: it lost its
+// connection between a Flush and Sync, outside an explicit transaction.
+func TestLostFlushIsNoTransaction(t *testing.T) {
+	e, first, _ := newEntry(t, nil)
+	first.script = []error{nil, citronusher.NewNotRun(citronusher.ReasonBroken, "x")}
+	conn := dial(t, e, "")
+	pipeline := conn.PgConn().StartPipeline(t.Context())
+	pipeline.SendQueryParams("INSERT", nil, nil, nil, nil)
+	pipeline.SendFlushRequest()
+	if err := pipeline.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := pipeline.GetResults(); err != nil {
+		t.Fatal(err)
+	}
+	pipeline.SendQueryParams("INSERT", nil, nil, nil, nil)
+	if err := pipeline.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	if err := pipeline.Close(); state(err) != "57P03 outcome: not run; reason: broken" {
+		t.Errorf("second statement: %v", err)
+	}
+	if status := conn.PgConn().TxStatus(); status != pg.StatusIdle {
+		t.Errorf("status %c after the loss", status)
+	}
+	if _, err := conn.Exec(t.Context(), "INSERT"); err != nil {
+		t.Errorf("after the loss: %v", err)
+	}
+}
+
 // TestTokenFollowsTheSession guards against stale reads in a session that continues with a token: the home must receive the
 // token's position, and an older position must not replace it.
 func TestTokenFollowsTheSession(t *testing.T) {
--- a/entry/run.go
+++ b/entry/run.go
@@ -213,9 +213,9 @@
 }
 
 // setLost sets the state of a session whose transaction lost its connection. Unless the exchange could commit it, the
-// caller must still end the transaction.
+// caller must still end the transaction. An implicit one, which a Flush left open, is not the caller's to end.
 func (s *callerSession) setLost(wasPinned bool, exchange citronusher.Exchange, f *citronusher.Failure) {
-	if !wasPinned {
+	if !wasPinned || s.status == pg.StatusIdle {
 		return
 	}
 	s.aborted = f.Outcome() == citronusher.NotRun && !pg.MayCommit(exchange)
--- a/pg/control.go
+++ b/pg/control.go
@@ -50,11 +50,8 @@
 // may be idle although a transaction is open, never the reverse.
 func statusAfter(exchange citronusher.Exchange, before byte) byte {
 	run, _, ok := statementsOf(exchange)
-	if !ok {
-		if anyStatement(exchange, endPattern) {
-			return StatusIdle
-		}
-		return before
+	if !ok && anyStatement(exchange, endPattern) {
+		return StatusIdle
 	}
 	status := before
 	for _, s := range run {
