--- a/home/marker.go
+++ b/home/marker.go
@@ -22,6 +22,7 @@
 	recheckDelay   = 100 * time.Millisecond
 	pruneInterval  = 256 // marked requests between two deletions of expired markers
 
+	insertedOne = "INSERT 0 1" // command tag
 	codeUnique  = "23505"
 	codeNoTable = "42P01"
 )
@@ -31,6 +32,14 @@
 	return request.ID != "" && w.profile.RetryPolicy() == profile.RetryNever
 }
 
+// rejectRunsOn returns the failure of a marked exchange that goes on after the end of its transaction. A marker tells of the
+// transaction that it is in and of nothing else: what runs after a COMMIT may fail though the marker is committed, and what
+// runs after a ROLLBACK may be kept though the marker is not.
+func rejectRunsOn() error {
+	return citronusher.NewNotRun(citronusher.ReasonInput,
+		"a non-repeatable request is one transaction: nothing can run after its COMMIT or ROLLBACK in the same exchange")
+}
+
 // quote returns text as an SQL string literal.
 func quote(text string) string { return "'" + strings.ReplaceAll(text, "'", "''") + "'" }
 
@@ -38,8 +47,11 @@
 func (w *work) runMarked(
 	ctx context.Context, t *target, request citronusher.Request, buffer *answerBuffer,
 ) (citronusher.Result, error) {
-	if opensWrite(request.Exchange) {
+	switch {
+	case pg.ControlOf(request.Exchange).Opens:
 		return w.runUnmarked(ctx, t, request, buffer) // markCommit writes the marker before the transaction's commit
+	case request.Exchange.Partial:
+		return w.runFlushed(ctx, t, request, buffer)
 	}
 	ticket := t.ticket(request, w.profile)
 	if err := w.acquire(ctx, t, ticket); err != nil {
@@ -233,31 +245,69 @@
 	return values[0], false, nil
 }
 
-// markCommit writes the marker of an explicit transaction immediately before its commit. done is true when the request
-// has already run, or when the marker could not be written.
-func (w *work) markCommit(
+// prepareMarked writes the marker if an exchange of the open transaction commits it. done is true when the exchange must not
+// run.
+func (w *work) prepareMarked(
 	ctx context.Context, request citronusher.Request, buffer *answerBuffer,
 ) (result citronusher.Result, done bool, err error) {
-	insert := fmt.Sprintf("INSERT INTO citronusher_marker (id, tag, made) VALUES (%s, 'COMMIT', %d)", quote(request.ID),
-		w.database.now().Unix())
-	_, answer, err := w.conn.Query(ctx, insert)
-	if err != nil {
-		err = w.notCommitted(err)
+	control := pg.ControlOf(request.Exchange)
+	switch {
+	case control.RunsOn:
+		_ = w.conn.Close()
 		w.release()
-		return result, true, err
-	}
-	switch answer.ErrorCode {
-	case "":
-		return result, false, nil
-	case codeUnique:
-		result, err = w.repeated(ctx, request, "COMMIT", buffer)
+		return result, true, rejectRunsOn()
+	case control.Commits && control.RollsBackTo:
+		_ = w.conn.Close()
+		w.release()
+		return result, true, citronusher.NewNotRun(citronusher.ReasonInput, "a non-repeatable request can't roll back to a "+
+			"savepoint and commit in the same exchange: its record would be rolled back")
+	case control.Commits && w.conn.Status() == pg.StatusActive:
+		return w.markCommit(ctx, request, "COMMIT", buffer)
 	default:
+		return result, false, nil
+	}
+}
+
+// markCommit writes the marker of an open transaction, with the command tag to record, immediately before its commit, in
+// place of a void one. done is true when the request has already run, or when the marker could not be written.
+func (w *work) markCommit(
+	ctx context.Context, request citronusher.Request, tag string, buffer *answerBuffer,
+) (result citronusher.Result, done bool, err error) {
+	insert := fmt.Sprintf("INSERT INTO citronusher_marker (id, tag, made) VALUES (%s, %s, %d) ON CONFLICT (id) "+
+		"DO UPDATE SET tag = excluded.tag, made = excluded.made WHERE citronusher_marker.tag = '%s'", quote(request.ID),
+		quote(tag), w.database.now().Unix(), tagVoid)
+	_, answer, err := w.conn.Query(ctx, insert)
+	switch {
+	case err != nil:
+		err = w.notCommitted(err)
+	case answer.ErrorCode != "":
 		// The failed statement aborted this transaction. A missing table is created for the caller's next attempt.
 		_, _, _ = w.conn.Query(ctx, "ROLLBACK")
 		_, _, _ = w.conn.Query(ctx, createMarkers)
 		err = citronusher.NewNotRun(citronusher.ReasonBroken,
 			"the marker could not be written, and the transaction is rolled back: %s", answer.Message)
+	case answer.CommandTag == insertedOne:
+		return result, false, nil
+	default:
+		result, err = w.earlierAttempt(ctx, request, buffer)
 	}
 	w.release()
 	return result, true, err
 }
+
+// earlierAttempt rolls back the open transaction, which has met a marker of its request, and answers with the outcome that
+// an earlier attempt recorded. If none did, the marker was the transaction's own.
+func (w *work) earlierAttempt(
+	ctx context.Context, request citronusher.Request, buffer *answerBuffer,
+) (citronusher.Result, error) {
+	tag, fresh, err := w.readMarker(ctx, request.ID)
+	if err != nil {
+		return citronusher.Result{}, w.notCommitted(err)
+	}
+	if fresh {
+		_, _, _ = w.conn.Query(ctx, "ROLLBACK")
+		return citronusher.Result{}, citronusher.NewNotRun(citronusher.ReasonBroken,
+			"another attempt of the request did not run; this one is rolled back")
+	}
+	return w.repeated(ctx, request, tag, buffer)
+}
--- a/home/work.go
+++ b/home/work.go
@@ -19,6 +19,7 @@
 	target   *target
 	term     uint64
 	replica  bool
+	flushed  bool // a marked request has run up to a Flush, in a transaction of runFlushed
 	profile  profile.Profile
 }
 
@@ -37,6 +38,9 @@
 		return citronusher.Result{}, err
 	}
 	w.profile = p
+	if w.marked(request) && pg.ControlOf(request.Exchange).RunsOn {
+		return citronusher.Result{}, rejectRunsOn()
+	}
 	if !opensWrite(request.Exchange) {
 		if p.Replica() {
 			w.database.set.config.Meter.ReplicaEligible().Inc(1)
@@ -192,17 +196,21 @@
 	ctx context.Context, request citronusher.Request, buffer *answerBuffer,
 ) (citronusher.Result, error) {
 	buffer.check = w.streamCheck(ctx)
-	if w.marked(request) && w.conn.Status() == pg.StatusActive && pg.MayCommit(request.Exchange) {
-		if result, done, err := w.markCommit(ctx, request, buffer); done {
+	if w.marked(request) {
+		if result, done, err := w.prepareMarked(ctx, request, buffer); done {
 			return result, err
 		}
 	}
+	if w.flushed {
+		return w.continueFlushed(ctx, request, buffer)
+	}
 	answer, err := w.conn.Run(ctx, request.Exchange, buffer.write)
-	if err != nil {
+	switch {
+	case err != nil && w.marked(request):
+		w.release()
+		return w.resolveIfUnknown(ctx, request, buffer, err)
+	case err != nil:
 		w.release()
-		if w.marked(request) && citronusher.AsFailure(err).Outcome() == citronusher.Unknown {
-			return w.resolveOutcome(ctx, request, buffer, err)
-		}
 		return citronusher.Result{}, err
 	}
 	return w.complete(ctx, request, answer, buffer)
@@ -295,7 +303,7 @@
 		return
 	}
 	w.target.pool.Put(w.conn)
-	w.conn, w.target = nil, nil
+	w.conn, w.target, w.flushed = nil, nil, false
 }
 
 // Close releases the connection. An open transaction is rolled back by closing its connection.
