targets: an answer from a shorter log than the primary has shown ends the lease

A primary that started again under its id within its lease, without what it had acknowledged, answered reads from the shorter log: only replicas renew a lease, and positions were never compared (STALE). Found by a reviewer; TestLogOfThePrimaryThatWentBackIsNotRead failed before.

An answer whose position is lower than the newest one of the term when it was sent ends the lease, so that it is not confirmed. Positions of one process only rise.

--- a/targets/conn.go
+++ b/targets/conn.go
@@ -15,8 +15,9 @@
 	id      string
 	conn    *pooledConn
 	primary bool
-	valid   bool // the lease was valid when the running commands were sent
-	pinned  bool // acquired for a transaction
+	valid   bool                 // the lease was valid when the running commands were sent
+	shown   citronusher.Position // what the primary had shown by then
+	pinned  bool                 // acquired for a transaction
 	term    uint64
 	ticket  *schedule.Ticket
 }
@@ -180,12 +181,21 @@
 // State returns the connection's session state.
 func (h *Conn) State() *SessionState { return h.conn.state }
 
+// wentBack reports whether an answer of the primary shows a lower position than the primary had shown before: its process
+// started again without its log. The caller holds the group's mu.
+func (h *Conn) wentBack(position citronusher.Position) bool {
+	return h.unchanged() && !position.IsZero() && position.Less(h.shown)
+}
+
 // observeAnswer updates the state of the member, and the group's position history, from an answer. Only positions that
 // were requested under a valid lease of the present term go into the history. The caller holds the group's mu.
 func (h *Conn) observeAnswer(
 	answer citronusher.Answer, command citronusher.Command, sentAt, now citronusher.Instant,
 ) {
 	g := h.group
+	if h.valid && h.wentBack(answer.Position) {
+		g.endLease("primary lacks a part of its log", now)
+	}
 	if h.valid && g.lease.Term() == h.term && answer.Position.Term() <= h.term {
 		g.history.Observe(answer.Position, sentAt)
 	}
--- a/targets/run.go
+++ b/targets/run.go
@@ -93,6 +93,7 @@
 		h.member.inTransaction++
 	}
 	h.valid = h.primary && h.leased(sentAt)
+	h.shown = h.group.history.Newest()
 }
 
 // endRun records the answers to commands that were sent at sentAt. It reports whether they are confirmed: they came from a
