targets: homes without a lease do not keep each other busy

Since a home without a lease asks every other home for its renewal, each such call counted as use of the lease there: in an outage of the store all homes of a group without a lease requested reports and each other's renewals without end, although nobody called.

A call counts as use only of a valid lease, and at the group's lease renewer.

--- a/targets/renew.go
+++ b/targets/renew.go
@@ -155,13 +155,15 @@
 }
 
 // leaseRenewalAge returns the time since the request that last renewed the lease of a term was sent to a replica. It
-// returns false without a valid lease of that term. A call counts as use of the lease, because other instances rely on
-// its renewals.
+// returns false without a valid lease of that term. A call counts as use of a valid lease, and at the lease renewer, because
+// other instances rely on its renewals. Otherwise instances without a lease would keep each other busy.
 func (g *Group) leaseRenewalAge(term uint64) (time.Duration, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	g.primaryUsedAt = now
+	if _, isPeer := g.set.leaseRenewer(g.name); !isPeer || g.lease.Valid(now) {
+		g.primaryUsedAt = now
+	}
 	sentAt, ok := g.lease.RenewalSentAt()
 	if !ok || g.lease.Term() != term || !g.lease.Valid(now) {
 		g.wakeLoop()
