targets: a primary that has lost its log is replaced, and judged by its answers only

The previous check compared answers with the newest position of the history, into which a status puts the position received; PROTOCOL.md shows a status ahead of the READY of the same response, so that a sound primary could lose its lease with each answer. And the primary was adopted again in the same term: once its new log was as long as the old one, it was read (STALE).

Answers are compared with answers of the same term. Once one, or a status, is lower, the member is not adopted again in that term, and a promotion does not take its answers for those of the primary: TestPrimaryWithoutItsLogIsReplaced. The test of the growing log takes a rejected request for one that was not passed on, as before it ended the test.

--- a/lease/history.go
+++ b/lease/history.go
@@ -53,14 +53,6 @@
 	w.samples = append(w.samples[:0], w.samples[removed:]...)
 }
 
-// Newest returns the newest position; the zero Position when there is none.
-func (w *History) Newest() citronusher.Position {
-	if len(w.samples) == 0 {
-		return citronusher.Position{}
-	}
-	return w.samples[len(w.samples)-1].position
-}
-
 // FirstSince returns the earliest position that was requested at since or later; false when there is none.
 func (w *History) FirstSince(since citronusher.Instant) (citronusher.Position, bool) {
 	for _, s := range w.samples {
--- a/targets/conn.go
+++ b/targets/conn.go
@@ -16,7 +16,7 @@
 	conn    *pooledConn
 	primary bool
 	valid   bool                 // the lease was valid when the running commands were sent
-	shown   citronusher.Position // what the primary had shown by then
+	shown   citronusher.Position // what the primary's answers had shown by then
 	pinned  bool                 // acquired for a transaction
 	term    uint64
 	ticket  *schedule.Ticket
@@ -181,8 +181,8 @@
 // State returns the connection's session state.
 func (h *Conn) State() *SessionState { return h.conn.state }
 
-// wentBack reports whether an answer of the primary shows a lower position than the primary had shown before: its process
-// started again without its log. The caller holds the group's mu.
+// wentBack reports whether an answer of the primary shows a lower position than earlier ones: its process started again
+// without its log. The caller holds the group's mu.
 func (h *Conn) wentBack(position citronusher.Position) bool {
 	return h.unchanged() && !position.IsZero() && position.Less(h.shown)
 }
@@ -194,10 +194,12 @@
 ) {
 	g := h.group
 	if h.valid && h.wentBack(answer.Position) {
+		g.lostLog = true
 		g.endLease("primary lacks a part of its log", now)
 	}
 	if h.valid && g.lease.Term() == h.term && answer.Position.Term() <= h.term {
 		g.history.Observe(answer.Position, sentAt)
+		g.answered = g.answered.Max(answer.Position)
 	}
 	if !answer.Position.IsZero() {
 		h.member.position = answer.Position
--- a/targets/discover.go
+++ b/targets/discover.go
@@ -171,7 +171,7 @@
 	if found == nil && anyBusy(replies) {
 		return false // a member that had no capacity to answer may be the primary
 	}
-	if found == nil || found.status.Term < g.highestTerm {
+	if found == nil || found.status.Term < g.highestTerm || g.lacksLog(*found) {
 		g.markUnavailable(now, false)
 		return false
 	}
@@ -192,6 +192,16 @@
 	return true
 }
 
+// lacksLog reports whether a reply is one of the primary that has started again without a part of its log. The caller holds
+// mu.
+func (g *Group) lacksLog(r memberReply) bool {
+	if r.id != g.primary || r.status.Term != g.lease.Term() {
+		return false
+	}
+	g.lostLog = g.lostLog || r.status.Position.Less(g.answered)
+	return g.lostLog
+}
+
 // observeTerm records that a member has reported a term. It ends a lease of an older term, and a primary of an older term is
 // not adopted from then on. The caller holds mu.
 func (g *Group) observeTerm(term uint64, member string) {
@@ -242,6 +252,7 @@
 			closeAll(old.takeAll())
 		}
 		g.history.Reset()
+		g.answered, g.lostLog = citronusher.Position{}, false
 	}
 	g.primary, g.lease, g.unavailableSince, g.connectionRefused = id, newLease, 0, false
 	g.recordResponse(found.member, now)
--- a/targets/group.go
+++ b/targets/group.go
@@ -23,6 +23,8 @@
 	lease               lease.Lease
 	primary             string // member ID of the primary under the lease's term; empty while none is known
 	history             lease.History
+	answered            citronusher.Position // highest of the primary's answers in the term of the lease
+	lostLog             bool                 // the primary of that term has started again without a part of its log
 	queue               schedule.Queue
 	waiting             map[*schedule.Ticket]chan grant
 	changed             chan struct{}       // closed and replaced when the lease or the primary changes
--- a/targets/promote.go
+++ b/targets/promote.go
@@ -205,14 +205,16 @@
 }
 
 // newestTerm returns the highest term in replies and whether a member reports to be the primary of m.term or a later
-// term.
+// term, and has its log.
 func (m *promotionAttempt) newestTerm(replies []memberReply) (term uint64, isPrimary bool) {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
 	for _, r := range replies {
 		if r.err != nil {
 			continue
 		}
 		term = max(term, r.status.Term)
-		if r.status.Role == citronusher.RolePrimary && r.status.Term >= m.term {
+		if r.status.Role == citronusher.RolePrimary && r.status.Term >= m.term && !m.group.lacksLog(r) {
 			isPrimary = true
 		}
 	}
--- a/targets/run.go
+++ b/targets/run.go
@@ -93,7 +93,7 @@
 		h.member.inTransaction++
 	}
 	h.valid = h.primary && h.leased(sentAt)
-	h.shown = h.group.history.Newest()
+	h.shown = h.group.answered
 }
 
 // endRun records the answers to commands that were sent at sentAt. It reports whether they are confirmed: they came from a
--- a/targets/short_log_test.go
+++ b/targets/short_log_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"citronusher.example/citronusher"
+	"citronusher.example/citronusher/schedule"
 )
 
 // TestAnswerBehindTheReportedLogKeepsTheLease guards against a lease on a sound primary that ends because its answer shows a
@@ -36,9 +38,13 @@
 	position := citronusher.NewPosition(1, 7)
 	f.members["a"].run = func() citronusher.Answer { return citronusher.Answer{Position: position} }
 	run := func() error {
-		conn := acquire(t, g)
+		deadline := g.now().Add(time.Second)
+		conn, err := g.Acquire(schedule.NewTicket(schedule.Requirement{Primary: true}, 1, deadline, deadline))
+		if err != nil {
+			return err
+		}
 		defer conn.Release()
-		_, err := conn.Run(citronusher.Never, 0, citronusher.Command{})
+		_, err = conn.Run(citronusher.Never, 0, citronusher.Command{})
 		return err
 	}
 	if err := run(); err != nil {
@@ -56,3 +62,24 @@
 		g.discover()
 	}
 }
+
+// TestPrimaryWithoutItsLogIsReplaced guards against a group without a usable primary: the one that has started again without
+// its log answers, so that no outage is seen.
+func TestPrimaryWithoutItsLogIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform()
+		g := p.newDaemon(t, "d1")
+		g.discover()
+		g.mu.Lock()
+		g.answered = citronusher.NewPosition(1, 99)
+		g.mu.Unlock()
+		g.discover()
+		if g.unavailableSince == 0 {
+			t.Error("the primary counts as available")
+		}
+		time.Sleep(replicationCheckTimeout)
+		if reason := promoteFor(g); reason != "" || g.primary == "a" {
+			t.Errorf("abandoned: %q, primary %q", reason, g.primary)
+		}
+	})
+}
