standin/users: only a thaw that says so goes in order

A thawed member performed what it had kept in the order in which it came since, so that scripts and the soak no longer saw the other orders, such as a late RESUME after a PAUSE on another connection. Now ThawInOrder does that, which the script frozen uses; any other thaw leaves the order between connections open, as before. Found by a reviewer.

--- a/gateway/action_test.go
+++ b/gateway/action_test.go
@@ -98,6 +98,8 @@
 		s.member(fields[1]).SetFrozen(true)
 	case "thaw":
 		s.member(fields[1]).SetFrozen(false)
+	case "thaw-in-order": // what the member has kept is performed first
+		s.member(fields[1]).ThawInOrder()
 	case "hold":
 		s.member(fields[1]).PauseReplication(uint64(s.number(fields[2]))) //nolint:gosec // small
 	case "lose-answer":
--- a/standin/users/member.go
+++ b/standin/users/member.go
@@ -34,6 +34,7 @@
 	crashed        bool
 	unresponsive   bool // sends no answers
 	frozen         bool
+	ordered        bool            // it performs what it has kept in order
 	kept           []chan struct{} // those that wait for the member to go on, in the order in which they came
 	notReceiving   bool            // receives no commits from the primary
 	partitioned    bool            // cut off from the other members
