A new connection does not replace the one that proves a lease

Cause: a report renews a lease if it came on a connection that is older than the last renewal. While a renewal has the only idle connection to a replica, another one is opened. If it arrived after the renewal had returned, it was last in the list: the next renewal used it, and after 0.6 s the older one was closed.

TestConnectionOpenedBeside- ARenewalKeepsTheLease failed before ("the lease has ended").

Change: a connection that is opened ahead of need goes to the other end of the list, where it is used last and closed first.

--- a/targets/renew_test.go
+++ b/targets/renew_test.go
@@ -137,6 +137,31 @@
 	}
 }
 
+// TestConnectionOpenedBesideARenewalKeepsTheLease guards against a lease that ends in an outage of the store because the
+// connection that shows that a replica has not restarted was closed in favour of one opened during the renewal.
+func TestConnectionOpenedBesideARenewalKeepsTheLease(t *testing.T) {
+	f := newFakeGroup(t)
+	g := f.open()
+	f.advance(time.Millisecond)
+	g.discover()
+	f.advance(renewInterval)
+	g.renewFromReplicas() // on connections that are older than the lease from now on
+	f.store.err = citronusher.ErrUnavailable
+	f.members["c"].silent = true
+	for range 5 {
+		f.advance(unusedRenewInterval)
+		g.mu.Lock()
+		closeAll(g.members["b"].takeSurplus(g.now()))
+		g.mu.Unlock()
+		g.renewFromReplicas()
+		f.advance(time.Millisecond)
+		g.prewarm(g.members["b"])
+	}
+	if !g.Ready() {
+		t.Error("the lease has ended")
+	}
+}
+
 // TestUnusedLeaseIsRenewedSeldom guards against the cost of groups that nobody uses: reports of replicas, and calls to the
 // store while a lease cannot begin.
 func TestUnusedLeaseIsRenewedSeldom(t *testing.T) {
--- a/targets/watch.go
+++ b/targets/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"citronusher.example/citronusher"
@@ -117,7 +118,8 @@
 		closeConn(c)
 		return
 	}
-	m.idle = append(m.idle, c)
+	c.idleSince = g.now()
+	m.idle = slices.Insert(m.idle, 0, c) // used and kept after the older ones, which show that the member has not restarted
 	g.dispatch(g.now())
 }
 
