prove: no process is forked while freePort looks for a port

Cause: freePort listens on a port and closes the listener. A child that another test forks in between keeps the listener open until it runs its program, so that the port is still taken when the process that got it listens a moment later.

What was seen: TestVersionNeverGoesBack, "timed out after 30s waiting for a member", its log "member listen: listen tcp 127.0.0.1:30225: bind: address already in use", under load with more than three clusters at a time (go test -race -v -run 'Test[^L]' -short ./prove; the run before failed too, its log was not kept).

Change: freePort holds the lock that Go's fork takes.

--- a/prove/process_test.go
+++ b/prove/process_test.go
@@ -190,9 +190,12 @@
 	portCount = 2_000
 )
 
-// freePort returns a loopback address with a port on which nothing listens.
+// freePort returns a loopback address with a port on which nothing listens. No process is forked meanwhile: until it runs its
+// program, it would keep the listener open.
 func freePort(t testing.TB) string {
 	t.Helper()
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	for range 1000 {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
 		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
