--- a/prove/process_test.go
+++ b/prove/process_test.go
@@ -190,8 +190,8 @@
 	portCount = 2_000
 )
 
-// freePort returns a loopback address with a port on which nothing listens. No process is forked meanwhile: until it runs its
-// program, it would keep the listener open.
+// freePort returns a loopback address with a port on which nothing listens. No process is forked meanwhile: until it runs
+// its program, it would keep the listener open.
 func freePort(t testing.TB) string {
 	t.Helper()
 	syscall.ForkLock.RLock()
--- a/targets/discover.go
+++ b/targets/discover.go
@@ -192,8 +192,8 @@
 	return true
 }
 
-// lacksLog reports whether a reply is one of the primary that has started again without a part of its log, and records that it
-// has. The caller holds mu.
+// lacksLog reports whether a reply is one of the primary that has started again without a part of its log, and records that
+// it has. The caller holds mu.
 func (g *Group) lacksLog(r memberReply) bool {
 	if r.id != g.primary || r.status.Term != g.lease.Term() {
 		return false
--- a/targets/pause.go
+++ b/targets/pause.go
@@ -81,8 +81,8 @@
 }
 
 // checkUnchanged returns a reason if a replica may have renewed leases since it was paused, or one that was not paused is
-// listed, or an earlier request has taken effect. Called when each lease was released or has expired, it proves that no lease
-// is valid and that no report of a replica renews one.
+// listed, or an earlier request has taken effect. Called when each lease was released or has expired, it proves that no
+// lease is valid and that no report of a replica renews one.
 func (m *promotionAttempt) checkUnchanged() string {
 	if reason := m.checkStillPaused(); reason != "" {
 		return reason
@@ -129,8 +129,8 @@
 	}
 }
 
-// checkPauses requests the status of the unchecked members and removes those that are still paused. It returns a reason if one
-// may not be.
+// checkPauses requests the status of the unchecked members and removes those that are still paused. It returns a reason if
+// one may not be.
 func (m *promotionAttempt) checkPauses(unchecked map[*member]memberReply) string {
 	replies := m.group.querySome(requestStatus, func(other *member) bool {
 		_, ok := unchecked[other]
--- a/targets/renew.go
+++ b/targets/renew.go
@@ -53,8 +53,8 @@
 }
 
 // renewIfNeeded starts a renewal of the lease if one is due. The lease renewer of the group renews at a replica, also while
-// no request uses the primary: a lease that has expired begins only with what the store shows. The
-// other instances take over its renewals while requests use the primary. The caller holds mu.
+// no request uses the primary: a lease that has expired begins only with what the store shows. The other instances take
+// over its renewals while requests use the primary. The caller holds mu.
 func (g *Group) renewIfNeeded(now citronusher.Instant) {
 	renewer, isPeer := g.set.leaseRenewer(g.name)
 	used := g.primaryUsed(now)
--- a/targets/stale_view_test.go
+++ b/targets/stale_view_test.go
@@ -299,8 +299,8 @@
 	return list, err
 }
 
-// TestMemberThatJoinsBeforeThePausesIsPaused guards against a promotion beside a lease that a replica renews which was listed
-// after the promoter had read the members, and before the pauses.
+// TestMemberThatJoinsBeforeThePausesIsPaused guards against a promotion beside a lease that a replica renews which was
+// listed after the promoter had read the members, and before the pauses.
 func TestMemberThatJoinsBeforeThePausesIsPaused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newFakePlatform()
